--- /dev/null
+++ b/src/kernel/contracts.ts
@@ -0,0 +1,188 @@
+/**
+ * The procedures that the fleet's processes serve to each other, as tRPC routers over plain interfaces.
+ * Each part implements its interface; its callers use the router's type.
+ */
+import { z } from "zod";
+import { commandSchemas, loadReportSchema, querySchemas } from "./messages.js";
+import type {
+    CommandKind,
+    ConfigurationView,
+    ControlReply,
+    EngineOrder,
+    EntryAnnouncement,
+    LeaseUse,
+    LoadReport,
+    QueryKind,
+} from "./messages.js";
+import { rpc } from "./rpc.js";
+
+const name = z.string().min(1).max(200);
+const commandKinds = Object.keys(commandSchemas) as [CommandKind, ...CommandKind[]];
+const queryKinds = Object.keys(querySchemas) as [QueryKind, ...QueryKind[]];
+
+/** A command on its way to control. The input is checked against the schema of its kind. */
+export const submitSchema = z.object({ operationId: name, kind: z.enum(commandKinds), input: z.unknown() });
+/** A command on its way to control. */
+export type SubmitRequest = Readonly<z.infer<typeof submitSchema>>;
+
+/** A read that a quorum is to confirm. */
+export const querySchema = z.object({ kind: z.enum(queryKinds), input: z.unknown() });
+/** A read that a quorum is to confirm. */
+export type QueryRequest = Readonly<z.infer<typeof querySchema>>;
+
+/** A wait for the next published revision. It tells control what the node has in force. */
+export const watchSchema = z.object({
+    vm: name,
+    role: z.enum(["entry", "agent", "control"]),
+    failureDomain: z.string(),
+    incarnation: name,
+    version: z.number().int().nonnegative(),
+    revision: z.number().int().nonnegative(),
+    timeoutMs: z.number().positive().max(60_000),
+});
+/** A wait for the next published revision. */
+export type WatchRequest = Readonly<z.infer<typeof watchSchema>>;
+
+/** What is published: the configuration where it is newer, and budgets that are recalled from this node. */
+export interface WatchReply {
+    readonly revision: number;
+    readonly configuration?: ConfigurationView;
+    readonly recalledBudgets: readonly string[];
+}
+
+/** An agent's sign of life to the leader. */
+export const heartbeatSchema = z.object({
+    vm: name,
+    failureDomain: z.string(),
+    incarnation: name,
+    backendServer: name,
+    /** Some of the leases that the agent keeps counters for, to learn which are closed. */
+    leaseIds: z.array(name).max(1_000),
+    /** Index of the entry list that the agent knows. */
+    entriesIndex: z.number().int().nonnegative(),
+});
+/** An agent's sign of life to the leader. */
+export type Heartbeat = Readonly<z.infer<typeof heartbeatSchema>>;
+
+/** Answer to a heartbeat. */
+export interface HeartbeatResult {
+    /** False when control does not know this incarnation, so that it must announce itself again. */
+    readonly isKnown: boolean;
+    readonly isDraining: boolean;
+    readonly closedLeaseIds: readonly string[];
+    readonly entriesIndex: number;
+    /** Present when the agent's list is out of date. */
+    readonly entries?: readonly EntryAnnouncement[];
+    readonly epoch: number;
+    readonly orders: readonly EngineOrder[];
+}
+
+/** One VM as the status lists it. */
+export interface VmStatus {
+    readonly vm: string;
+    readonly role: string;
+    readonly failureDomain: string;
+    readonly versionInForce: number;
+    readonly seenMsAgo: number;
+}
+
+/** State of one control VM. */
+export interface ControlStatus {
+    readonly voterId: string;
+    readonly vm: string;
+    readonly role: string;
+    readonly term: number;
+    readonly leaderAddress?: string;
+    readonly version: number;
+    readonly commitIndex: number;
+    readonly appliedIndex: number;
+    readonly voters: readonly {
+        readonly voterId: string;
+        readonly address: string;
+        readonly failureDomain: string;
+        readonly isLearner: boolean;
+    }[];
+    readonly vms: readonly VmStatus[];
+}
+
+/** What control serves to the fleet and to operators. */
+export interface ControlApi {
+    submit(request: SubmitRequest): Promise<ControlReply<unknown>>;
+    query(request: QueryRequest): Promise<ControlReply<unknown>>;
+    watch(request: WatchRequest): Promise<WatchReply>;
+    heartbeat(request: Heartbeat): Promise<ControlReply<HeartbeatResult>>;
+    status(): Promise<ControlStatus>;
+    replaceVoter(request: { oldVoterId: string; voterId: string; address: string; failureDomain: string; }): Promise<ControlReply<boolean>>;
+}
+
+/** Procedures of control, without those between its own replicas. */
+export function createControlRouter(api: ControlApi) {
+    return rpc.router({
+        submit: rpc.procedure.input(submitSchema).mutation(({ input }) => api.submit(input as SubmitRequest)),
+        query: rpc.procedure.input(querySchema).query(({ input }) => api.query(input as QueryRequest)),
+        watch: rpc.procedure.input(watchSchema).query(({ input }) => api.watch(input)),
+        heartbeat: rpc.procedure.input(heartbeatSchema).mutation(({ input }) => api.heartbeat(input)),
+        status: rpc.procedure.query(() => api.status()),
+        replaceVoter: rpc.procedure
+            .input(z.object({ oldVoterId: name, voterId: name, address: name, failureDomain: z.string() }))
+            .mutation(({ input }) => api.replaceVoter(input)),
+    });
+}
+/** Type of control's procedures. */
+export type ControlRouter = ReturnType<typeof createControlRouter>;
+
+/** What an entry serves to agents. */
+export interface EntryApi {
+    report(report: LoadReport): Promise<void>;
+}
+
+/** Procedures of an entry. */
+export function createEntryRouter(api: EntryApi) {
+    return rpc.router({
+        report: rpc.procedure.input(loadReportSchema).mutation(({ input }) => api.report(input)),
+    });
+}
+/** Type of an entry's procedures. */
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
+
+/** A request to stop an attempt. */
+export const cancelSchema = z.object({
+    requestId: name,
+    /** True when what was generated so far is billed: the caller left. False for a losing attempt. */
+    isBilled: z.boolean(),
+});
+/** A request to stop an attempt. */
+export type CancelRequest = Readonly<z.infer<typeof cancelSchema>>;
+
+/** What an agent serves to control and to entries, beside the streams. */
+export interface AgentApi {
+    /** Refuses all further starts under these leases and tells what ran under them. */
+    closeLeases(request: { readonly incarnation: string; readonly leaseIds: readonly string[]; }): Promise<CloseLeasesReply>;
+    /** Stops an attempt that nobody waits for any more. */
+    cancel(request: CancelRequest): Promise<CancelReply>;
+}
+
+/** Answer to the closing of leases. */
+export type CloseLeasesReply =
+    | { readonly kind: "closed"; readonly uses: readonly LeaseUse[]; }
+    /** The address belongs to another incarnation now, so the one that was asked is gone. */
+    | { readonly kind: "otherIncarnation"; readonly incarnation: string; };
+
+/** Answer to a cancel: what the attempt had come to. */
+export interface CancelReply {
+    /** `unknown` when the agent never started it, and it never will. */
+    readonly state: "unknown" | "stopped" | "finished";
+    readonly billedTokens: number;
+}
+
+/** Procedures of an agent. */
+export function createAgentRouter(api: AgentApi) {
+    return rpc.router({
+        closeLeases: rpc.procedure
+            .input(z.object({ incarnation: name, leaseIds: z.array(name).max(10_000) }))
+            .mutation(({ input }) => api.closeLeases(input)),
+        cancel: rpc.procedure.input(cancelSchema).mutation(({ input }) => api.cancel(input)),
+    });
+}
+/** Type of an agent's procedures. */
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
--- /dev/null
+++ b/src/kernel/endpoints.ts
@@ -0,0 +1,40 @@
+/** The endpoints that every process serves: health, readiness and metrics. */
+import type { HttpHandler, HttpResponse } from "./host.js";
+import { createMetricsPage } from "./metrics.js";
+import type { MetricSource } from "./metrics.js";
+
+/** What a process says of itself. */
+export interface ProcessEndpoints {
+    readonly isReady: () => boolean;
+    readonly readMetrics: MetricSource;
+    /** Serves everything else. */
+    readonly handler: HttpHandler;
+}
+
+type Endpoint = (response: HttpResponse) => Promise<void>;
+
+/** Creates the handler of a process. */
+export function createProcessHandler(endpoints: ProcessEndpoints): HttpHandler {
+    const getMetricsPage = createMetricsPage(endpoints.readMetrics);
+    const table: Readonly<Record<string, Endpoint>> = {
+        "/healthz": response => sendText(response, 200, "ok\n"),
+        "/readyz": response => endpoints.isReady() ? sendText(response, 200, "ready\n") : sendText(response, 503, "not ready\n"),
+        "/metrics": async response => sendText(response, 200, await getMetricsPage()),
+    };
+    return (request, response) => {
+        const endpoint = Object.hasOwn(table, request.path) && request.method === "GET" ? table[request.path] : undefined;
+        return endpoint === undefined ? endpoints.handler(request, response) : endpoint(response);
+    };
+}
+
+/** Answers with plain text. */
+export async function sendText(
+    response: HttpResponse,
+    status: number,
+    text: string,
+    contentType = "text/plain; charset=utf-8",
+): Promise<void> {
+    response.start(status, { "content-type": contentType });
+    await response.write(Buffer.from(text));
+    response.end();
+}
--- /dev/null
+++ b/src/kernel/hostNode.ts
@@ -0,0 +1,292 @@
+/** The real host: Node's clock, timers, files, HTTP server and undici's client. */
+import { httpBatchLink } from "@trpc/client";
+import type { TRPCLink } from "@trpc/client";
+import type { AnyRouter } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createHash, randomBytes, randomInt, timingSafeEqual } from "node:crypto";
+import { promises as files } from "node:fs";
+import * as http from "node:http";
+import * as https from "node:https";
+import type { AddressInfo } from "node:net";
+import { isIP } from "node:net";
+import { dirname } from "node:path";
+import { Agent, fetch as undiciFetch, request as undiciRequest } from "undici";
+import VError from "verror";
+import { NotSentError } from "./host.js";
+import type { Disk, Host, HttpRequest, HttpResponse, IncomingReply, Listener, Logger, Network, ServerOptions } from "./host.js";
+import type { Address } from "./types.js";
+
+/** Header that carries the fleet secret between processes. */
+export const fleetSecretHeader = "lovage-fleet-secret";
+
+/** Options of the real host. */
+export interface NodeHostOptions {
+    /** Secret that the fleet's processes share. */
+    readonly fleetSecret: string;
+    readonly createLogger: (prefix: string) => Logger;
+}
+
+const connectTimeoutMs = 2_000;
+const keepAliveTimeoutMs = 60_000;
+const headersTimeoutMs = 30_000;
+const maxHeaderSizeBytes = 16_384;
+const randomRange = 2 ** 47;
+
+/** Creates the real host. */
+export function createNodeHost(options: NodeHostOptions): Host {
+    return {
+        clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
+        timers: {
+            after(delayMs, callback) {
+                const timer = setTimeout(callback, delayMs);
+                return () => clearTimeout(timer);
+            },
+        },
+        random: {
+            nextUnit: () => randomInt(randomRange) / randomRange,
+            nextId: () => randomBytes(12).toString("base64url"),
+        },
+        network: createNodeNetwork(options.fleetSecret),
+        disk: createNodeDisk(),
+        createLogger: options.createLogger,
+    };
+}
+
+/** Compares two secrets in time that does not depend on where they differ. */
+export function isSameSecret(given: string | undefined, expected: string): boolean {
+    if (given === undefined) return false;
+    return timingSafeEqual(hash(given), hash(expected));
+}
+
+function hash(text: string): Buffer {
+    return createHash("sha256").update(text).digest();
+}
+
+function createNodeNetwork(fleetSecret: string): Network {
+    const pool = new Agent({
+        connect: { timeout: connectTimeoutMs },
+        keepAliveTimeout: keepAliveTimeoutMs,
+        connections: 256,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    return {
+        serve: options => serve(options, fleetSecret),
+        async request(address, request): Promise<IncomingReply> {
+            try {
+                const reply = await undiciRequest(`http://${address}${request.path}`, {
+                    dispatcher: pool,
+                    method: request.method as "GET",
+                    headers: { ...request.headers, [fleetSecretHeader]: fleetSecret },
+                    body: request.body,
+                    signal: request.signal,
+                });
+                return { status: reply.statusCode, headers: flattenHeaders(reply.headers), body: reply.body };
+            }
+            catch (error) {
+                throw toNetworkError(error, address);
+            }
+        },
+        linkTo: address => createLink(address, pool, fleetSecret),
+    };
+}
+
+// Errors that come before a connection stands, so that nothing of the request was sent.
+const notSentCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+
+function toNetworkError(error: unknown, address: Address): Error {
+    const code = error instanceof Error && "code" in error ? String(error.code) : "";
+    if (notSentCodes.has(code)) return new NotSentError(`no connection to ${address}: ${code}`);
+    return new VError(error instanceof Error ? error : new Error(String(error)), "request to %s failed", address);
+}
+
+function createLink(address: Address, pool: Agent, fleetSecret: string): TRPCLink<AnyRouter> {
+    return httpBatchLink({
+        url: `http://${address}/rpc`,
+        maxItems: 64,
+        methodOverride: "POST",
+        headers: { [fleetSecretHeader]: fleetSecret },
+        fetch: (url, init) => undiciFetch(String(url), { ...init as object, dispatcher: pool }) as unknown as Promise<Response>,
+    }) as TRPCLink<AnyRouter>;
+}
+
+async function serve(options: ServerOptions, fleetSecret: string): Promise<Listener> {
+    const { host, port } = parseAddress(options.address);
+    const rpc = options.router === undefined ? undefined : createHTTPHandler({
+        router: options.router,
+        basePath: "/rpc/",
+        allowBatching: true,
+        allowMethodOverride: true,
+        maxBodySize: options.maxBodyBytes,
+    });
+    const listener: http.RequestListener = (incoming, outgoing) => {
+        if (incoming.url?.startsWith("/rpc/")) {
+            if (rpc === undefined || !isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
+                outgoing.writeHead(401).end();
+                return;
+            }
+            rpc(incoming, outgoing);
+            return;
+        }
+        void handle(options, incoming, outgoing);
+    };
+    const server = await createServer(options, listener);
+    await listen(server, host, port);
+    const bound = server.address() as AddressInfo;
+    return {
+        address: `${host}:${bound.port}`,
+        async reloadTls() {
+            if (options.tls !== undefined && server instanceof https.Server) server.setSecureContext(await readTls(options));
+        },
+        close() {
+            return new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeIdleConnections();
+            });
+        },
+    };
+}
+
+async function createServer(options: ServerOptions, listener: http.RequestListener): Promise<http.Server> {
+    const settings = { headersTimeout: headersTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderSizeBytes };
+    if (options.tls === undefined) return http.createServer(settings, listener);
+    return https.createServer({ ...settings, ...await readTls(options) }, listener);
+}
+
+async function readTls(options: ServerOptions): Promise<{ readonly cert: Buffer; readonly key: Buffer; }> {
+    const tls = options.tls!;
+    return { cert: await files.readFile(tls.certificateFile), key: await files.readFile(tls.keyFile) };
+}
+
+function listen(server: http.Server, host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", error => reject(new VError(error, "cannot listen on %s:%d", host, port)));
+        server.listen(port, host, resolve);
+    });
+}
+
+/** Splits an address. Throws when it is not an IP number and a port. */
+export function parseAddress(address: Address): { readonly host: string; readonly port: number; } {
+    const match = /^(.+):(\d{1,5})$/.exec(address);
+    const host = match?.[1]?.replace(/^\[|\]$/g, "") ?? "";
+    const port = Number(match?.[2] ?? NaN);
+    if (isIP(host) === 0 || !(port <= 65_535)) throw new VError("%s is not an IP number with a port", JSON.stringify(address));
+    return { host, port };
+}
+
+async function handle(options: ServerOptions, incoming: http.IncomingMessage, outgoing: http.ServerResponse): Promise<void> {
+    const gone = new AbortController();
+    outgoing.on("close", () => gone.abort());
+    const response = createResponse(outgoing);
+    try {
+        const body = await readBody(incoming, options.maxBodyBytes);
+        if (body === undefined) {
+            // The rest of the body is not read, so the connection cannot be used again.
+            response.start(413, { "content-type": "application/problem+json", "connection": "close", "lovage-verdict": "not-run" });
+            await response.write(
+                Buffer.from(JSON.stringify({ code: "bodyTooLarge", status: 413, detail: "The body is larger than the limit." })),
+            );
+            response.end();
+            return;
+        }
+        const request: HttpRequest = {
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: flattenHeaders(incoming.headers),
+            body,
+            signal: gone.signal,
+        };
+        await options.handler(request, response);
+    }
+    catch {
+        response.abort();
+    }
+}
+
+async function readBody(incoming: http.IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const part of incoming) {
+        sizeBytes += (part as Buffer).length;
+        if (sizeBytes > maxBytes) return undefined;
+        parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts);
+}
+
+function createResponse(outgoing: http.ServerResponse): HttpResponse {
+    return {
+        get hasStarted() {
+            return outgoing.headersSent;
+        },
+        start(status, headers) {
+            outgoing.writeHead(status, headers);
+            outgoing.flushHeaders();
+        },
+        write(chunk) {
+            if (outgoing.destroyed || outgoing.write(chunk)) return Promise.resolve();
+            return new Promise(resolve => {
+                const proceed = () => {
+                    outgoing.off("drain", proceed);
+                    outgoing.off("close", proceed);
+                    resolve();
+                };
+                outgoing.on("drain", proceed);
+                outgoing.on("close", proceed);
+            });
+        },
+        end: () => void outgoing.end(),
+        abort: () => void outgoing.destroy(),
+    };
+}
+
+function getHeader(incoming: http.IncomingMessage, headerName: string): string | undefined {
+    const value = incoming.headers[headerName];
+    return Array.isArray(value) ? value[0] : value;
+}
+
+function flattenHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>): Readonly<Record<string, string>> {
+    const flat: Record<string, string> = {};
+    for (const [key, value] of Object.entries(headers)) {
+        if (value !== undefined) flat[key] = typeof value === "string" ? value : value.join(", ");
+    }
+    return flat;
+}
+
+function createNodeDisk(): Disk {
+    return {
+        async ensureFolder(folder) {
+            await files.mkdir(folder, { recursive: true });
+            await syncPath(dirname(folder));
+        },
+        async list(folder) {
+            return (await files.readdir(folder)).sort();
+        },
+        async read(file) {
+            try {
+                return await files.readFile(file);
+            }
+            catch (error) {
+                if ((error as NodeJS.ErrnoException).code === "ENOENT") return undefined;
+                throw error;
+            }
+        },
+        append: (file, data) => files.appendFile(file, data),
+        write: (file, data) => files.writeFile(file, data),
+        truncate: (file, sizeBytes) => files.truncate(file, sizeBytes),
+        rename: (from, to) => files.rename(from, to),
+        remove: file => files.rm(file, { force: true }),
+        sync: syncPath,
+        syncFolder: syncPath,
+    };
+}
+
+async function syncPath(path: string): Promise<void> {
+    const handle = await files.open(path, "r");
+    try {
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+}
--- /dev/null
+++ b/src/kernel/metrics.ts
@@ -0,0 +1,50 @@
+/** Metrics in the Prometheus text format, with quantiles from HDR histograms. */
+import type { Histogram } from "hdr-histogram-js";
+import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+
+/** One number that is read when metrics are asked for. */
+export interface MetricReading {
+    readonly name: string;
+    readonly help: string;
+    readonly value: number;
+    readonly labels?: Readonly<Record<string, string>>;
+}
+
+/** Reads all numbers of one process. */
+export type MetricSource = () => readonly MetricReading[];
+
+const quantiles = [50, 95, 99] as const;
+const microsecondsPerSecond = 1_000_000;
+
+/** Readings of an HDR histogram of microseconds: its quantiles in seconds. */
+export function readHistogram(
+    name: string,
+    help: string,
+    histogram: Histogram,
+    labels: Readonly<Record<string, string>>,
+): readonly MetricReading[] {
+    return quantiles.map(quantile => ({
+        name,
+        help,
+        value: histogram.getValueAtPercentile(quantile) / microsecondsPerSecond,
+        labels: { ...labels, quantile: String(quantile / 100) },
+    }));
+}
+
+/** Creates the text of the metrics page. */
+export function createMetricsPage(source: MetricSource): () => Promise<string> {
+    const defaults = new Registry();
+    collectDefaultMetrics({ register: defaults });
+    return async () => {
+        const registry = new Registry();
+        const gauges = new Map<string, Gauge>();
+        for (const reading of source()) {
+            const labelNames = Object.keys(reading.labels ?? {});
+            const gauge = gauges.get(reading.name) ??
+                new Gauge({ name: reading.name, help: reading.help, labelNames, registers: [registry] });
+            gauges.set(reading.name, gauge);
+            gauge.set(reading.labels ?? {}, reading.value);
+        }
+        return await defaults.metrics() + await registry.metrics();
+    };
+}
--- /dev/null
+++ b/src/kernel/objects.ts
@@ -0,0 +1,103 @@
+/** The objects of a configuration set. Every schema is strict: an unknown field is a problem. */
+import { z } from "zod";
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, "must be letters, digits, dots, dashes or underscores");
+const sha256 = z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hexadecimal");
+
+/** A client account, with the digests of its keys. Never the keys. */
+export const clientAccountSchema = z.strictObject({
+    kind: z.literal("clientAccount"),
+    name,
+    keyDigests: z.array(sha256).min(1).max(20).readonly(),
+    budget: name,
+    policy: name,
+}).readonly();
+/** A client account. */
+export type ClientAccountObject = z.infer<typeof clientAccountSchema>;
+
+/** A prepaid budget. Its balance is state, not configuration. */
+export const budgetSchema = z.strictObject({
+    kind: z.literal("budget"),
+    name,
+    clientAccounts: z.array(name).readonly(),
+    policy: name,
+}).readonly();
+/** A prepaid budget. */
+export type BudgetObject = z.infer<typeof budgetSchema>;
+
+/** Limits and preferences of client accounts and budgets. */
+export const policySchema = z.strictObject({
+    kind: z.literal("policy"),
+    name,
+    /** Which error costs more. Overspend is zero under each; the choice sets lease length and waiting. */
+    weighsMore: z.enum(["overspend", "falseRefusals"]),
+    maxConcurrentRequests: z.number().int().min(1).max(100_000),
+    requestsPerSecond: z.number().positive().max(1_000_000),
+    burstRequests: z.number().int().min(1).max(1_000_000),
+    /** Share in fair queueing, relative to other client accounts. */
+    weight: z.number().positive().max(1_000).default(1),
+    /** What becomes of tokens whose use was lost with an agent: held for an operator, or settled as spent. */
+    lostWork: z.enum(["hold", "writeOff"]),
+}).readonly();
+/** Limits and preferences. */
+export type PolicyObject = z.infer<typeof policySchema>;
+
+/** A way from a model name or a service path to a pool. */
+export const routeSchema = z.strictObject({
+    kind: z.literal("route"),
+    name,
+    /** Requests for this model take the route. */
+    model: name.optional(),
+    /** Requests below `/services/NAME/` take the route. */
+    service: name.optional(),
+    pool: name,
+    serviceClass: z.enum(["interactive", "batch"]),
+    timeoutMs: z.number().int().min(100).max(3_600_000),
+    maxCompletionTokens: z.number().int().min(1).max(1_000_000).default(1_024),
+    /** Requests that must run at most once. */
+    nonIdempotent: z.array(z.strictObject({ method: z.string(), pathPrefix: z.string() }).readonly()).readonly().default([]),
+}).readonly();
+/** A route. */
+export type RouteObject = z.infer<typeof routeSchema>;
+
+/** Backend servers that stand in for one another. They announce themselves; the set does not list them. */
+export const backendServerPoolSchema = z.strictObject({
+    kind: z.literal("backendServerPool"),
+    name,
+    backendServerKind: z.enum(["modelEngine", "plainService"]),
+    /** Artifacts of the weight store that each backend server of the pool is to load. */
+    artifacts: z.array(name).readonly().default([]),
+    maxLoadsPerMinute: z.number().positive().max(10_000).default(60),
+}).readonly();
+/** A pool of backend servers. */
+export type BackendServerPoolObject = z.infer<typeof backendServerPoolSchema>;
+
+/** Any object of a set. */
+export type ConfigurationObject = ClientAccountObject | BudgetObject | PolicyObject | RouteObject | BackendServerPoolObject;
+
+/** Objects by kind. */
+export interface ObjectsByKind {
+    readonly clientAccount: ClientAccountObject;
+    readonly budget: BudgetObject;
+    readonly policy: PolicyObject;
+    readonly route: RouteObject;
+    readonly backendServerPool: BackendServerPoolObject;
+}
+
+/** Kind of an object. */
+export type ObjectKindName = keyof ObjectsByKind;
+
+/** A checked set with look-ups by kind and name. */
+export interface ObjectIndex {
+    get<K extends ObjectKindName>(kind: K, objectName: string): ObjectsByKind[K] | undefined;
+    list<K extends ObjectKindName>(kind: K): readonly ObjectsByKind[K][];
+}
+
+/** Creates look-ups over a checked set. */
+export function createObjectIndex(objects: readonly ConfigurationObject[]): ObjectIndex {
+    const byKey = new Map(objects.map(object => [`${object.kind}/${object.name}`, object]));
+    return {
+        get: (kind, objectName) => byKey.get(`${kind}/${objectName}`) as never,
+        list: kind => objects.filter(object => object.kind === kind) as never,
+    };
+}
--- /dev/null
+++ b/src/kernel/rpc.ts
@@ -0,0 +1,29 @@
+/** Shared tRPC set-up: one builder for all routers, and typed clients over the host's links. */
+import { createTRPCClient } from "@trpc/client";
+import type { TRPCClient, TRPCLink } from "@trpc/client";
+import { initTRPC } from "@trpc/server";
+import type { AnyRouter } from "@trpc/server";
+import type { Network } from "./host.js";
+import type { Address } from "./types.js";
+
+/** Builder of routers and procedures. */
+export const rpc = initTRPC.create({ isDev: false });
+
+/** A cache of typed clients by address. */
+export interface RpcClients<R extends AnyRouter> {
+    get(address: Address): TRPCClient<R>;
+}
+
+/** Creates a cache of clients. A client keeps no connection of its own, so that a stale one costs little. */
+export function createRpcClients<R extends AnyRouter>(network: Network): RpcClients<R> {
+    const clients = new Map<Address, TRPCClient<R>>();
+    return {
+        get(address) {
+            const known = clients.get(address);
+            if (known !== undefined) return known;
+            const created = createTRPCClient<R>({ links: [network.linkTo(address) as unknown as TRPCLink<R>] });
+            clients.set(address, created);
+            return created;
+        },
+    };
+}
