--- /dev/null
+++ b/src/control/control.ts
@@ -0,0 +1,242 @@
+/** A control VM: one replica of the log with the plug-ins' state, the procedures it serves, and the leader's tasks. */
+import { createControlRouter } from "../kernel/contracts.js";
+import type {
+    ControlApi,
+    ControlStatus,
+    Heartbeat,
+    HeartbeatResult,
+    SubmitRequest,
+    WatchReply,
+    WatchRequest,
+} from "../kernel/contracts.js";
+import { assert } from "../kernel/debug.js";
+import type { Host } from "../kernel/host.js";
+import { commandSchemas, querySchemas } from "../kernel/messages.js";
+import type { CommandKind, ControlReply } from "../kernel/messages.js";
+import { createRegistry } from "../kernel/registry.js";
+import type { ControlPlugin } from "../kernel/registry.js";
+import { rpc } from "../kernel/rpc.js";
+import { createSignal, waitUntil } from "../kernel/tasks.js";
+import type { Address } from "../kernel/types.js";
+import { createPeerCalls, createRootRouter } from "./log/peers.js";
+import { createReplica, defaultTiming } from "./log/replica.js";
+import type { BarrierResult, ProposeResult, Replica, ReplicaTiming } from "./log/replica.js";
+import { openStore } from "./log/store.js";
+import type { Member } from "./log/types.js";
+import type { ControlState } from "./plugins/index.js";
+import { createStateMachine } from "./stateMachine.js";
+import type { ApplyOutcome } from "./stateMachine.js";
+import { createLeaderTasks } from "./tasks.js";
+
+/** Options of a control VM. */
+export interface ControlOptions {
+    readonly vm: string;
+    readonly groupId: string;
+    readonly self: Member;
+    readonly dataFolder: string;
+    readonly createState: (register: (plugin: ControlPlugin) => void, registry: ReturnType<typeof createRegistry>) => ControlState;
+    readonly timing?: ReplicaTiming;
+    readonly snapshotEveryEntries?: number;
+}
+
+/** A running control VM. */
+export interface Control {
+    readonly api: ControlApi;
+    readonly router: ReturnType<typeof createFullRouter>;
+    readonly replica: Replica;
+    readonly state: ControlState;
+    isReady(): boolean;
+    /** Hands leadership over, then stops. */
+    stop(): Promise<void>;
+    /** Stops at once, as a crash does. */
+    halt(): void;
+}
+
+interface SeenVm {
+    readonly role: string;
+    readonly failureDomain: string;
+    readonly version: number;
+    readonly seenAtMs: number;
+}
+
+const snapshotEveryEntries = 20_000;
+const forgetVmMs = 60_000;
+
+/** Starts a control VM on its data folder. Rejects when the store refuses to open. */
+export async function createControl(host: Host, options: ControlOptions): Promise<Control> {
+    const log = host.createLogger("control");
+    const registry = createRegistry();
+    const state = options.createState(plugin => registry.register(plugin), registry);
+    const machine = createStateMachine(registry);
+    const changed = createSignal(host.timers);
+    const seen = new Map<string, SeenVm>();
+    const store = await openStore(host.disk, options.dataFolder, options.groupId, options.self.voterId);
+    const replica = createReplica(host, {
+        self: options.self,
+        store,
+        timing: options.timing ?? defaultTiming,
+        snapshotEveryEntries: options.snapshotEveryEntries ?? snapshotEveryEntries,
+        calls: createPeerCalls(host),
+        machine: {
+            apply(entry, context) {
+                const revisionBefore = state.getRevision();
+                const outcome = machine.apply(entry, context);
+                state.onApplied(context.index);
+                // Recalls and revisions are what watchers wait for.
+                if (state.getRevision() !== revisionBefore || entry.command === "leases.renew") changed.notify();
+                return outcome;
+            },
+            save: machine.save,
+            load(saved) {
+                machine.load(saved);
+                changed.notify();
+            },
+        },
+    });
+    const tasks = createLeaderTasks(host, { replica, state, submit });
+    replica.start();
+    tasks.start();
+
+    const api: ControlApi = { submit, query, watch, heartbeat, status, replaceVoter };
+    return {
+        api,
+        router: createFullRouter(api, replica),
+        replica,
+        state,
+        isReady: () => replica.getStatus().leaderId !== undefined,
+        async stop() {
+            const isHandedOver = await replica.handOver();
+            log.info("This control VM stops.", { isHandedOver });
+            tasks.stop();
+            replica.stop();
+            changed.notify();
+        },
+        halt() {
+            tasks.stop();
+            replica.stop();
+            changed.notify();
+        },
+    };
+
+    async function submit(request: SubmitRequest): Promise<ControlReply<unknown>> {
+        const parsed = commandSchemas[request.kind].safeParse(request.input);
+        if (!parsed.success) return { kind: "rejected", detail: describe(parsed.error.issues) };
+        const proposed = await replica.propose(request.operationId, request.kind, parsed.data);
+        return toReply(proposed, request.kind);
+    }
+
+    function toReply(proposed: ProposeResult, kind: CommandKind): ControlReply<unknown> {
+        if (proposed.kind === "notLeader") return proposed;
+        if (proposed.kind === "unknown") return { kind: "unavailable", detail: "the outcome is not known yet" };
+        const outcome = proposed.result as ApplyOutcome;
+        if (outcome.kind === "operationConflict") {
+            return { kind: "rejected", detail: `this operation id was used before for another ${kind}` };
+        }
+        // The time is that of this entry, also where the result is that of an earlier one.
+        return { kind: "done", index: outcome.index, controlTimeMs: proposed.controlTimeMs, result: outcome.result };
+    }
+
+    async function query(request: { readonly kind: keyof typeof querySchemas; readonly input?: unknown; }): Promise<ControlReply<unknown>> {
+        const parsed = querySchemas[request.kind].safeParse(request.input);
+        if (!parsed.success) return { kind: "rejected", detail: describe(parsed.error.issues) };
+        return read(controlTimeMs => registry.query(request.kind, parsed.data, controlTimeMs));
+    }
+
+    async function read<T>(readState: (controlTimeMs: number, index: number) => T): Promise<ControlReply<T>> {
+        const barrier: BarrierResult = await replica.readBarrier();
+        if (barrier.kind !== "confirmed") return barrier;
+        const { index, controlTimeMs } = barrier;
+        return { kind: "done", index, controlTimeMs, result: readState(controlTimeMs, index) };
+    }
+
+    async function watch(request: WatchRequest): Promise<WatchReply> {
+        seen.set(request.vm, {
+            role: request.role,
+            failureDomain: request.failureDomain,
+            version: request.version,
+            seenAtMs: host.clock.nowMs(),
+        });
+        const isDue = () => state.getRevision() > request.revision || state.listRecalled(request.incarnation).length > 0;
+        await waitUntil(host, changed, isDue, request.timeoutMs);
+        const revision = state.getRevision();
+        const isNewer = revision > request.revision;
+        return {
+            revision,
+            configuration: isNewer ? state.getConfiguration() : undefined,
+            recalledBudgets: state.listRecalled(request.incarnation),
+        };
+    }
+
+    async function heartbeat(request: Heartbeat): Promise<ControlReply<HeartbeatResult>> {
+        const { vm, failureDomain } = request;
+        seen.set(vm, { role: "agent", failureDomain, version: state.getConfiguration().version, seenAtMs: host.clock.nowMs() });
+        tasks.noteAlive(request.incarnation);
+        return read(controlTimeMs => state.answerHeartbeat(request, controlTimeMs));
+    }
+
+    async function status(): Promise<ControlStatus> {
+        const { role, term, leaderAddress, commitIndex, appliedIndex, membership } = replica.getStatus();
+        const voters = [
+            ...membership.voters.map(voter => ({ ...voter, isLearner: false })),
+            ...membership.learners.map(learner => ({ ...learner, isLearner: true })),
+        ];
+        const nowMs = host.clock.nowMs();
+        seen.set(options.vm, {
+            role: "control",
+            failureDomain: options.self.failureDomain,
+            version: state.getConfiguration().version,
+            seenAtMs: nowMs,
+        });
+        for (const [vm, record] of seen) {
+            if (record.seenAtMs < nowMs - forgetVmMs) seen.delete(vm);
+        }
+        const vms = [...seen].map(([vm, record]) => ({
+            vm,
+            role: record.role,
+            failureDomain: record.failureDomain,
+            versionInForce: record.version,
+            seenMsAgo: Math.round(nowMs - record.seenAtMs),
+        }));
+        const version = state.getConfiguration().version;
+        return {
+            voterId: options.self.voterId,
+            vm: options.vm,
+            role,
+            term,
+            leaderAddress,
+            version,
+            commitIndex,
+            appliedIndex,
+            voters,
+            vms,
+        };
+    }
+
+    async function replaceVoter(
+        request: { oldVoterId: string; voterId: string; address: Address; failureDomain: string; },
+    ): Promise<ControlReply<boolean>> {
+        const { voters } = replica.getStatus().membership;
+        if (!voters.some(voter => voter.voterId === request.oldVoterId)) {
+            return { kind: "rejected", detail: `${request.oldVoterId} is no voter` };
+        }
+        if (voters.some(voter => voter.voterId === request.voterId)) {
+            return { kind: "rejected", detail: `${request.voterId} votes already` };
+        }
+        const { voterId, address, failureDomain } = request;
+        const replaced = await replica.replaceVoter(request.oldVoterId, { voterId, address, failureDomain });
+        if (replaced.kind === "applied") {
+            return { kind: "done", index: replaced.index, controlTimeMs: replaced.controlTimeMs, result: true };
+        }
+        return replaced.kind === "notLeader" ? replaced : { kind: "unavailable", detail: "the new voter did not catch up in time" };
+    }
+}
+
+/** All procedures of a control VM. */
+export function createFullRouter(api: ControlApi, replica: Replica) {
+    return rpc.mergeRouters(createControlRouter(api), createRootRouter(replica));
+}
+
+function describe(issues: readonly { readonly path: readonly PropertyKey[]; readonly message: string; }[]): string {
+    assert(issues.length > 0, "a failed check names an issue");
+    return issues.map(issue => `${issue.path.join(".")}: ${issue.message}`).join("; ");
+}
--- /dev/null
+++ b/src/control/plugins/audit.ts
@@ -0,0 +1,59 @@
+/** The audit trail: every change with who, when, operation id, digest, what changed and the outcome. */
+import { getDigest } from "../../kernel/digest.js";
+import type { AuditRecord } from "../../kernel/messages.js";
+import type { ApplyContext, ControlPlugin } from "../../kernel/registry.js";
+
+/** What a handler says of a change. */
+export interface AuditNote {
+    readonly actor: string;
+    readonly action: string;
+    readonly outcome: string;
+    readonly detail: string;
+    /** The change's content, of which the digest is kept. */
+    readonly content: unknown;
+}
+
+/** Writes to the audit trail. */
+export type AuditWriter = (context: ApplyContext, note: AuditNote) => void;
+
+/** The plug-in and the writer that the others are given. */
+export interface AuditTrail {
+    readonly plugin: ControlPlugin;
+    readonly write: AuditWriter;
+}
+
+const maxRecords = 100_000;
+
+/** Creates the audit trail. */
+export function createAuditTrail(): AuditTrail {
+    let records: AuditRecord[] = [];
+    return {
+        write(context, note) {
+            records.push({
+                index: context.index,
+                wallMs: context.wallMs,
+                controlTimeMs: context.nowMs,
+                actor: note.actor,
+                action: note.action,
+                operationId: context.operationId,
+                outcome: note.outcome,
+                digest: getDigest(note.content),
+                detail: note.detail,
+            });
+            if (records.length > maxRecords * 1.1) records = records.slice(-maxRecords);
+        },
+        plugin: {
+            name: "audit",
+            queries: {
+                "audit.since": input => ({ records: records.filter(record => record.wallMs >= input.wallMs).slice(-input.limit) }),
+            },
+            sections: [{
+                name: "audit",
+                save: () => records,
+                load: data => {
+                    records = [...data as AuditRecord[] ?? []];
+                },
+            }],
+        },
+    };
+}
--- /dev/null
+++ b/src/control/plugins/budgets/ledger.ts
@@ -0,0 +1,311 @@
+/**
+ * The ledger: budgets, their leases, and the rule that holds at every step:
+ * settled + held by open leases + in doubt <= topped up.
+ *
+ * Leases are escrow in the sense of O'Neil (1986): an entry spends only tokens that were set aside for it
+ * before, so that entries need not agree on each request.
+ */
+import { assert, checkDefined } from "../../../kernel/debug.js";
+import type { BudgetView, LeaseGrant, LeaseOutcome, LeaseRenewal } from "../../../kernel/messages.js";
+import type { BudgetName, Incarnation } from "../../../kernel/types.js";
+import { getHeldTokens, mergeSettled, sumSettled } from "./types.js";
+import type { BudgetAccount, Lease, LeaseRules } from "./types.js";
+
+/** Who renews. */
+export interface Renewer {
+    readonly vm: string;
+    readonly incarnation: Incarnation;
+}
+
+/** The ledger. Every change checks the invariant of the budget it touched. */
+export interface Ledger {
+    topUp(budget: BudgetName, tokens: number): number;
+    renew(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): LeaseGrant;
+    /** Starts the recovery of a lease whose entry is gone. Returns false when it must not start yet. */
+    beginRecovery(leaseId: string, isSuperseded: boolean, nowMs: number): boolean;
+    /** Closes a recovering lease at the totals that its agents gave. */
+    closeRecovered(leaseId: string, spent: Readonly<Record<Incarnation, number>>): boolean;
+    /** Closes a lease that recovery holds, at a total that an operator or the policy gives. */
+    closeAt(leaseId: string, spentTokens: number): boolean;
+    /** Keeps the rest of a recovering lease for an operator, because its use was lost. */
+    holdInDoubt(leaseId: string, knownSpent: Readonly<Record<Incarnation, number>>): boolean;
+    getLease(leaseId: string): Lease | undefined;
+    listLeases(): Iterable<Lease>;
+    getView(budget: BudgetName): BudgetView | undefined;
+    listViews(): readonly BudgetView[];
+    hasOpenLeases(budget: BudgetName): boolean;
+    /** Budgets of which this incarnation is asked to give unreserved tokens back. */
+    listRecalled(incarnation: Incarnation): readonly BudgetName[];
+    save(): unknown;
+    load(data: unknown): void;
+}
+
+/** How long a starving request keeps others from taking more than they need. */
+const starvingMs = 1_000;
+/** Control time for which the sequence numbers of an incarnation's leases are remembered. */
+const rememberSequenceMs = 24 * 3_600_000;
+
+interface SequenceRecord {
+    readonly highest: number;
+    readonly seenAtMs: number;
+}
+
+/** Creates an empty ledger. */
+export function createLedger(): Ledger {
+    const budgets = new Map<BudgetName, BudgetAccount>();
+    const leases = new Map<string, Lease>();
+    const sequences = new Map<Incarnation, SequenceRecord>();
+    // Recalled leases by incarnation, so that a waiting entry is found without a walk over all leases.
+    const recalled = new Map<Incarnation, Set<string>>();
+
+    return {
+        topUp(budget, tokens) {
+            const account = getAccount(budget);
+            setAccount({ ...account, toppedUpTokens: account.toppedUpTokens + tokens });
+            return account.toppedUpTokens + tokens;
+        },
+        renew,
+        beginRecovery(leaseId, isSuperseded, nowMs) {
+            const lease = leases.get(leaseId);
+            if (lease === undefined || lease.state === "inDoubt") return false;
+            if (lease.state === "recovering") return true;
+            if (!isSuperseded && lease.expiresAtMs >= nowMs) return false;
+            setLease({ ...lease, state: "recovering" });
+            return true;
+        },
+        closeRecovered(leaseId, spent) {
+            const lease = leases.get(leaseId);
+            if (lease === undefined || lease.state === "open") return false;
+            closeLease(settleMore(lease, spent));
+            return true;
+        },
+        closeAt(leaseId, spentTokens) {
+            const lease = leases.get(leaseId);
+            if (lease === undefined || lease.state === "open") return false;
+            const settledTokens = Math.max(lease.settledTokens, Math.min(spentTokens, lease.grantedTokens - lease.releasedTokens));
+            closeLease({ ...lease, settledTokens });
+            return true;
+        },
+        holdInDoubt(leaseId, knownSpent) {
+            const lease = leases.get(leaseId);
+            if (lease?.state !== "recovering") return false;
+            setLease({ ...settleMore(lease, knownSpent), state: "inDoubt" });
+            return true;
+        },
+        getLease: leaseId => leases.get(leaseId),
+        listLeases: () => leases.values(),
+        getView: budget => budgets.has(budget) ? createView(getAccount(budget)) : undefined,
+        listViews: () => [...budgets.values()].map(createView),
+        hasOpenLeases: budget => getAccount(budget).leaseIds.size > 0,
+        listRecalled: incarnation => [...recalled.get(incarnation) ?? []].map(leaseId => leases.get(leaseId)!.budget),
+        save: () => ({
+            budgets: [...budgets.values()].map(account => ({ ...account, leaseIds: [...account.leaseIds] })),
+            leases: [...leases.values()],
+            sequences: [...sequences],
+        }),
+        load(data) {
+            const saved = data as {
+                budgets: (Omit<BudgetAccount, "leaseIds"> & { leaseIds: string[]; })[];
+                leases: Lease[];
+                sequences: [Incarnation, SequenceRecord][];
+            };
+            budgets.clear();
+            leases.clear();
+            sequences.clear();
+            recalled.clear();
+            for (const account of saved.budgets) budgets.set(account.budget, { ...account, leaseIds: new Set(account.leaseIds) });
+            for (const lease of saved.leases) {
+                leases.set(lease.leaseId, lease);
+                noteRecall(lease, lease.isRecalled);
+            }
+            for (const [incarnation, record] of saved.sequences) sequences.set(incarnation, record);
+        },
+    };
+
+    function getAccount(budget: BudgetName): BudgetAccount {
+        return budgets.get(budget) ?? {
+            budget,
+            toppedUpTokens: 0,
+            closedSettledTokens: 0,
+            leaseIds: new Set(),
+            starvingUntilMs: 0,
+        };
+    }
+
+    function setAccount(account: BudgetAccount): void {
+        budgets.set(account.budget, account);
+        checkInvariant(account);
+    }
+
+    function setLease(lease: Lease): void {
+        assert(getHeldTokens(lease) >= 0, `lease ${lease.leaseId} settles and releases more than it was granted`);
+        leases.set(lease.leaseId, lease);
+        noteRecall(lease, lease.isRecalled);
+        const account = getAccount(lease.budget);
+        setAccount(account.leaseIds.has(lease.leaseId) ? account : { ...account, leaseIds: new Set([...account.leaseIds, lease.leaseId]) });
+    }
+
+    function closeLease(lease: Lease): void {
+        const account = getAccount(lease.budget);
+        const leaseIds = new Set([...account.leaseIds].filter(leaseId => leaseId !== lease.leaseId));
+        leases.delete(lease.leaseId);
+        noteRecall(lease, false);
+        setAccount({ ...account, leaseIds, closedSettledTokens: account.closedSettledTokens + lease.settledTokens });
+    }
+
+    function noteRecall(lease: Lease, isRecalled: boolean): void {
+        const leaseIds = recalled.get(lease.incarnation) ?? new Set();
+        if (isRecalled) leaseIds.add(lease.leaseId);
+        else leaseIds.delete(lease.leaseId);
+        if (leaseIds.size > 0) recalled.set(lease.incarnation, leaseIds);
+        else recalled.delete(lease.incarnation);
+    }
+
+    function getLeasesOf(account: BudgetAccount): readonly Lease[] {
+        return [...account.leaseIds].map(leaseId => checkDefined(leases.get(leaseId), `lease ${leaseId} is held`));
+    }
+
+    function checkInvariant(account: BudgetAccount): void {
+        const view = createView(account);
+        assert(
+            view.settledTokens + view.leasedTokens + view.inDoubtTokens <= account.toppedUpTokens,
+            `budget ${account.budget} has promised more than was topped up`,
+        );
+    }
+
+    function createView(account: BudgetAccount): BudgetView {
+        let settledTokens = account.closedSettledTokens;
+        let leasedTokens = 0;
+        let inDoubtTokens = 0;
+        for (const lease of getLeasesOf(account)) {
+            settledTokens += lease.settledTokens;
+            if (lease.state === "open") leasedTokens += getHeldTokens(lease);
+            else inDoubtTokens += getHeldTokens(lease);
+        }
+        const freeTokens = account.toppedUpTokens - settledTokens - leasedTokens - inDoubtTokens;
+        const { budget, toppedUpTokens } = account;
+        return { budget, toppedUpTokens, settledTokens, leasedTokens, inDoubtTokens, freeTokens };
+    }
+
+    function renew(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): LeaseGrant {
+        const held = leases.get(renewal.leaseId) ?? tryOpen(renewer, renewal, rules, nowMs);
+        if (held === undefined) return createRefusal(renewal.leaseId, rules === undefined ? "unknownBudget" : "closed", nowMs);
+        const settled = settle(held, renewal);
+        if (renewal.isClosing) {
+            closeLease(settled);
+            return createRefusal(renewal.leaseId, "closed", nowMs);
+        }
+        if (settled.state !== "open") {
+            setLease(settled);
+            return createRefusal(renewal.leaseId, "closed", nowMs);
+        }
+        if (rules === undefined) {
+            // A budget that left the set grants nothing more, but what was granted may be used up.
+            setLease({ ...settled, renewedAtMs: nowMs });
+            return createGrant({ ...settled, renewedAtMs: nowMs }, "granted", getHeldTokens(settled), nowMs);
+        }
+        const expiresAtMs = Math.max(settled.expiresAtMs, nowMs + rules.leaseMs);
+        setLease({ ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false });
+        return grant({ ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false }, renewal, rules, settled.isRecalled, nowMs);
+    }
+
+    // A lease id is used once. A delayed renewal of a closed lease must not open it again.
+    function tryOpen(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): Lease | undefined {
+        const sequence = Number(renewal.leaseId.slice(renewer.incarnation.length + 1));
+        const highest = sequences.get(renewer.incarnation)?.highest ?? 0;
+        const isOwn = renewal.leaseId === createLeaseId(renewer.incarnation, sequence);
+        if (rules === undefined || renewal.isClosing || !isOwn || !(sequence > highest)) return undefined;
+        forgetOldSequences(nowMs);
+        sequences.set(renewer.incarnation, { highest: sequence, seenAtMs: nowMs });
+        return {
+            leaseId: renewal.leaseId,
+            budget: renewal.budget,
+            vm: renewer.vm,
+            incarnation: renewer.incarnation,
+            state: "open",
+            grantedTokens: 0,
+            settledTokens: 0,
+            settledByAgent: {},
+            settledBeforeMs: 0,
+            releasedTokens: 0,
+            createdAtMs: nowMs,
+            renewedAtMs: nowMs,
+            expiresAtMs: nowMs + rules.leaseMs,
+            isRecalled: false,
+        };
+    }
+
+    function forgetOldSequences(nowMs: number): void {
+        for (const [incarnation, record] of sequences) {
+            if (record.seenAtMs >= nowMs - rememberSequenceMs) return;
+            sequences.delete(incarnation);
+        }
+    }
+
+    // Totals only grow, so that lost, doubled and crossed renewals do no harm.
+    function settle(lease: Lease, renewal: LeaseRenewal): Lease {
+        const settled = settleMore(lease, renewal.settledTokens);
+        const maxReleasedTokens = settled.grantedTokens - settled.settledTokens;
+        const releasedTokens = Math.max(lease.releasedTokens, Math.min(renewal.releasedTokens, maxReleasedTokens));
+        const settledBeforeMs = Math.max(lease.settledBeforeMs, renewal.settledBeforeMs);
+        return { ...settled, releasedTokens, settledBeforeMs };
+    }
+
+    // A lease never settles more than it was granted, whatever its entry or its agents say.
+    function settleMore(lease: Lease, added: Readonly<Record<Incarnation, number>>): Lease {
+        const settledByAgent = mergeSettled(lease.settledByAgent, added);
+        const settledTokens = Math.min(sumSettled(settledByAgent), lease.grantedTokens - lease.releasedTokens);
+        return { ...lease, settledByAgent, settledTokens: Math.max(lease.settledTokens, settledTokens) };
+    }
+
+    function grant(lease: Lease, renewal: LeaseRenewal, rules: LeaseRules, isRecalled: boolean, nowMs: number): LeaseGrant {
+        const account = getAccount(lease.budget);
+        const freeTokens = createView(account).freeTokens;
+        const others = getLeasesOf(account).filter(other => other.leaseId !== lease.leaseId);
+        const isStarving = renewal.starvingTokens > 0;
+        if (isStarving && freeTokens < renewal.starvingTokens) return starve(lease, renewal, rules, others, freeTokens, nowMs);
+        const isOtherStarving = account.starvingUntilMs > nowMs;
+        const isDue = isOtherStarving && !isStarving && isRecalled;
+        const shareTokens = Math.floor(freeTokens * rules.maxGrantShare / (others.length + 1));
+        const extraTokens = isOtherStarving ? 0 : Math.min(renewal.wantTokens, shareTokens);
+        const grantTokens = Math.min(freeTokens, renewal.starvingTokens + extraTokens);
+        const granted = { ...lease, grantedTokens: lease.grantedTokens + grantTokens };
+        setLease(granted);
+        return createGrant(granted, "granted", isDue ? getHeldTokens(granted) : 0, nowMs);
+    }
+
+    // Not enough is free. Other leases are asked for what they do not need, while that can still help.
+    function starve(
+        lease: Lease,
+        renewal: LeaseRenewal,
+        rules: LeaseRules,
+        others: readonly Lease[],
+        freeTokens: number,
+        nowMs: number,
+    ): LeaseGrant {
+        const reachable = others.filter(other => other.state === "open" && other.expiresAtMs >= nowMs);
+        const reachableTokens = reachable.reduce((sum, other) => sum + getHeldTokens(other), getHeldTokens(lease) + freeTokens);
+        if (reachableTokens < renewal.starvingTokens || (!rules.isRecallOn && getHeldTokens(lease) === 0)) {
+            return createGrant(lease, "exhausted", 0, nowMs);
+        }
+        if (rules.isRecallOn) {
+            setAccount({ ...getAccount(lease.budget), starvingUntilMs: nowMs + starvingMs });
+            for (const other of reachable) setLease({ ...other, isRecalled: true });
+        }
+        return createGrant(lease, "recalling", 0, nowMs);
+    }
+}
+
+/** Identifier of an entry's lease. Sequence numbers start at 1 and are used once. */
+export function createLeaseId(incarnation: Incarnation, sequence: number): string {
+    return `${incarnation}/${sequence}`;
+}
+
+function createGrant(lease: Lease, outcome: LeaseOutcome, recallTokens: number, controlTimeMs: number): LeaseGrant {
+    const { leaseId, grantedTokens, expiresAtMs } = lease;
+    return { leaseId, outcome, controlTimeMs, grantedTokens, expiresAtMs, recallTokens };
+}
+
+function createRefusal(leaseId: string, outcome: LeaseOutcome, controlTimeMs: number): LeaseGrant {
+    return { leaseId, outcome, controlTimeMs, grantedTokens: 0, expiresAtMs: 0, recallTokens: 0 };
+}
--- /dev/null
+++ b/src/control/plugins/budgets/plugin.ts
@@ -0,0 +1,122 @@
+/** The budget plug-in: commands and queries over the ledger. */
+import type { KeyedUse } from "../../../kernel/messages.js";
+import type { ObjectIndex } from "../../../kernel/objects.js";
+import type { ControlPlugin } from "../../../kernel/registry.js";
+import type { AuditWriter } from "../audit.js";
+import { createLedger } from "./ledger.js";
+import type { Ledger } from "./ledger.js";
+import { getHeldTokens, leaseRules } from "./types.js";
+import type { Lease, LeaseRules } from "./types.js";
+
+/** What the budgets need of the other plug-ins. */
+export interface BudgetsOptions {
+    readonly audit: AuditWriter;
+    readonly getObjects: () => ObjectIndex;
+    /** Tokens to bill for finished keyed requests of a recovered lease: what no other attempt was billed for. */
+    readonly billRecovered: (uses: readonly KeyedUse[], nowMs: number) => number;
+    readonly rules?: typeof leaseRules;
+}
+
+/** The plug-in and its ledger. */
+export interface Budgets {
+    readonly plugin: ControlPlugin;
+    readonly ledger: Ledger;
+}
+
+/** Creates the budget plug-in. */
+export function createBudgets(options: BudgetsOptions): Budgets {
+    const ledger = createLedger();
+    const rulesByPreference = options.rules ?? leaseRules;
+
+    // Written off means settled as spent, so that nothing that may have been used is spent again.
+    const closings: Readonly<Record<"close" | "hold" | "writeOff", (lease: Lease, spent: Readonly<Record<string, number>>) => void>> = {
+        close: (lease, spent) => void ledger.closeRecovered(lease.leaseId, spent),
+        hold: (lease, spent) => void ledger.holdInDoubt(lease.leaseId, spent),
+        writeOff: lease => void ledger.closeAt(lease.leaseId, lease.settledTokens + getHeldTokens(lease)),
+    };
+
+    const plugin: ControlPlugin = {
+        name: "budgets",
+        commands: {
+            "budgets.topUp": ({ budget, tokens, actor }, context) => {
+                const isKnown = options.getObjects().get("budget", budget) !== undefined;
+                const toppedUpTokens = isKnown ? ledger.topUp(budget, tokens) : 0;
+                const outcome = isKnown ? "accepted" : "unknown budget";
+                options.audit(context, {
+                    actor,
+                    action: "topUp",
+                    outcome,
+                    detail: `${budget}: ${tokens} tokens`,
+                    content: { budget, tokens },
+                });
+                return { isKnown, toppedUpTokens };
+            },
+            "budgets.release": ({ leaseId, spentTokens, actor }, context) => {
+                const isKnown = ledger.closeAt(leaseId, spentTokens);
+                const outcome = isKnown ? "accepted" : "not in doubt";
+                options.audit(context, { actor, action: "release", outcome, detail: `${leaseId}: ${spentTokens} spent`, content: leaseId });
+                return { isKnown };
+            },
+            "leases.renew": ({ vm, incarnation, leases }, { nowMs }) => {
+                return { grants: leases.map(renewal => ledger.renew({ vm, incarnation }, renewal, getRules(renewal.budget), nowMs)) };
+            },
+            "leases.beginRecovery": ({ leaseId, isSuperseded }, { nowMs }) => ({
+                isRecovering: ledger.beginRecovery(leaseId, isSuperseded, nowMs),
+            }),
+            "leases.finishRecovery": ({ leaseId, isUseLost, uses }, context) => {
+                const lease = ledger.getLease(leaseId);
+                if (lease?.state !== "recovering") return { isClosed: lease === undefined };
+                const spent = Object.fromEntries(uses.map(use => [
+                    use.incarnation,
+                    use.finishedTokens + options.billRecovered(use.keyed, context.nowMs),
+                ]));
+                const outcome = isUseLost ? getLostWork(lease.budget) : "close";
+                closings[outcome](lease, spent);
+                options.audit(context, {
+                    actor: "control",
+                    action: "recoverLease",
+                    outcome,
+                    detail: `${lease.budget}: lease of ${lease.vm}`,
+                    content: { leaseId, uses },
+                });
+                return { isClosed: outcome !== "hold" };
+            },
+        },
+        queries: {
+            "budgets.list": () => ({ budgets: ledger.listViews() }),
+            "budgets.show": ({ budget }) => ({ budget: ledger.getView(budget) ?? createEmptyView(budget) }),
+            "leases.list": () => ({
+                leases: [...ledger.listLeases()].map(lease => ({
+                    leaseId: lease.leaseId,
+                    budget: lease.budget,
+                    vm: lease.vm,
+                    incarnation: lease.incarnation,
+                    state: lease.state,
+                    heldTokens: getHeldTokens(lease),
+                    settledTokens: lease.settledTokens,
+                    expiresAtMs: lease.expiresAtMs,
+                })),
+            }),
+        },
+        sections: [{ name: "budgets", save: ledger.save, load: ledger.load }],
+    };
+    return { plugin, ledger };
+
+    function getRules(budget: string): LeaseRules | undefined {
+        const objects = options.getObjects();
+        const object = objects.get("budget", budget);
+        const policy = object === undefined ? undefined : objects.get("policy", object.policy);
+        return policy === undefined ? undefined : rulesByPreference[policy.weighsMore];
+    }
+
+    function getLostWork(budget: string): "hold" | "writeOff" {
+        const objects = options.getObjects();
+        const object = objects.get("budget", budget);
+        return (object === undefined ? undefined : objects.get("policy", object.policy))?.lostWork ?? "hold";
+    }
+
+    function createEmptyView(budget: string) {
+        if (options.getObjects().get("budget", budget) === undefined) return undefined;
+        return { budget, toppedUpTokens: 0, settledTokens: 0, leasedTokens: 0, inDoubtTokens: 0, freeTokens: 0 };
+    }
+}
--- /dev/null
+++ b/src/control/plugins/configuration.ts
@@ -0,0 +1,199 @@
+/** The configuration: full sets that are checked whole and published under one version. */
+import { getDigest } from "../../kernel/digest.js";
+import type { ChangeOutcome, ConfigurationView, Problem, QuarantineView } from "../../kernel/messages.js";
+import { createObjectIndex } from "../../kernel/objects.js";
+import type { ConfigurationObject, ObjectIndex } from "../../kernel/objects.js";
+import type { ApplyContext, ControlPlugin, ObjectKind, ObjectSet, Registry } from "../../kernel/registry.js";
+import type { AuditWriter } from "./audit.js";
+
+/** The plug-in and what the others read of it. */
+export interface Configuration {
+    readonly plugin: ControlPlugin;
+    getView(): ConfigurationView;
+    getIndex(): ObjectIndex;
+    getVersion(): number;
+}
+
+/** What the configuration needs of the other plug-ins. */
+export interface ConfigurationOptions {
+    readonly registry: Pick<Registry, "getObjectKind">;
+    readonly audit: AuditWriter;
+    readonly listQuarantined: () => readonly QuarantineView[];
+}
+
+interface KeptChange {
+    readonly digest: string;
+    readonly outcome: ChangeOutcome;
+}
+
+const maxKeptChanges = 50_000;
+
+/** Creates the configuration plug-in. */
+export function createConfiguration(options: ConfigurationOptions): Configuration {
+    let version = 0;
+    let lastChangeId = "";
+    let objects: readonly ConfigurationObject[] = [];
+    let index = createObjectIndex([]);
+    let digest = getDigest([]);
+    let changes = new Map<string, KeptChange>();
+
+    return {
+        getView: () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
+        getIndex: () => index,
+        getVersion: () => version,
+        plugin: {
+            name: "configuration",
+            commands: { "configuration.apply": (input, context) => applyChange(input, context) },
+            queries: {
+                "configuration.validate": input => checkObjects(input.objects, options.registry, objects),
+                "configuration.get": () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
+            },
+            sections: [{
+                name: "configuration",
+                save: () => ({ version, lastChangeId, objects, changes: [...changes] }),
+                load(data) {
+                    const saved = data as {
+                        version: number;
+                        lastChangeId: string;
+                        objects: ConfigurationObject[];
+                        changes: [string, KeptChange][];
+                    };
+                    version = saved.version;
+                    lastChangeId = saved.lastChangeId;
+                    changes = new Map(saved.changes);
+                    setObjects(saved.objects);
+                },
+            }],
+        },
+    };
+
+    function setObjects(accepted: readonly ConfigurationObject[]): void {
+        objects = accepted;
+        index = createObjectIndex(accepted);
+        digest = getDigest(accepted);
+    }
+
+    function applyChange(
+        input: { readonly baseVersion: number; readonly changeId: string; readonly objects: readonly unknown[]; readonly actor: string; },
+        context: ApplyContext,
+    ): ChangeOutcome {
+        const contentDigest = getDigest([input.baseVersion, input.objects]);
+        const outcome = decide(input, contentDigest, context);
+        options.audit(context, {
+            actor: input.actor,
+            action: "apply",
+            outcome: outcome.outcome,
+            detail:
+                `change ${input.changeId} on version ${input.baseVersion}: ${input.objects.length} objects, ${outcome.problems.length} problems`,
+            content: input.objects,
+        });
+        return outcome;
+    }
+
+    function decide(
+        input: { readonly baseVersion: number; readonly changeId: string; readonly objects: readonly unknown[]; },
+        contentDigest: string,
+        context: ApplyContext,
+    ): ChangeOutcome {
+        const first = changes.get(input.changeId);
+        if (first !== undefined && first.digest === contentDigest) return repeat(first.outcome);
+        if (first !== undefined) {
+            const problem = { object: input.changeId, field: "changeId", detail: "was used before for another set" };
+            return { outcome: "conflict", version, problems: [problem], winningChangeId: lastChangeId };
+        }
+        if (input.baseVersion !== version) {
+            const problem = {
+                object: input.changeId,
+                field: "baseVersion",
+                detail: `version ${version} of change ${lastChangeId} is in force`,
+            };
+            return { outcome: "conflict", version, problems: [problem], winningChangeId: lastChangeId };
+        }
+        const checked = checkObjects(input.objects, options.registry, objects);
+        if (checked.problems.length > 0) return { outcome: "invalid", version, problems: checked.problems };
+        version = context.index;
+        lastChangeId = input.changeId;
+        setObjects(checked.objects);
+        const outcome: ChangeOutcome = { outcome: "accepted", version, problems: [] };
+        keepChange(input.changeId, { digest: contentDigest, outcome });
+        return outcome;
+    }
+
+    function keepChange(changeId: string, change: KeptChange): void {
+        changes.set(changeId, change);
+        const oldest = changes.keys().next().value;
+        if (changes.size > maxKeptChanges && oldest !== undefined) changes.delete(oldest);
+    }
+}
+
+function repeat(first: ChangeOutcome): ChangeOutcome {
+    return { ...first, outcome: "repeated" };
+}
+
+/** A set after its check. */
+export interface CheckedSet {
+    readonly objects: readonly ConfigurationObject[];
+    readonly problems: readonly Problem[];
+}
+
+/** Checks a set as a whole and lists every problem at once. */
+export function checkObjects(
+    raw: readonly unknown[],
+    registry: Pick<Registry, "getObjectKind">,
+    before: readonly ConfigurationObject[],
+): CheckedSet {
+    const problems: Problem[] = [];
+    const parsed: { readonly object: ConfigurationObject; readonly kind: ObjectKind; }[] = [];
+    const seen = new Set<string>();
+    for (const [position, item] of raw.entries()) {
+        const checked = checkShape(item, position, registry);
+        problems.push(...checked.problems);
+        if (checked.object === undefined || checked.kind === undefined) continue;
+        const key = `${checked.object.kind}/${checked.object.name}`;
+        if (seen.has(key)) problems.push({ object: key, field: "name", detail: "stands twice in the set" });
+        seen.add(key);
+        parsed.push({ object: checked.object, kind: checked.kind });
+    }
+    const set = createObjectSet(parsed.map(item => item.object));
+    for (const { object, kind } of parsed) problems.push(...kind.check(object, set));
+    for (const object of before) {
+        if (seen.has(`${object.kind}/${object.name}`)) continue;
+        problems.push(...registry.getObjectKind(object.kind)?.checkRemoval?.(object) ?? []);
+    }
+    return { objects: parsed.map(item => item.object), problems };
+}
+
+interface ShapeCheck {
+    readonly object?: ConfigurationObject;
+    readonly kind?: ObjectKind;
+    readonly problems: readonly Problem[];
+}
+
+function checkShape(item: unknown, position: number, registry: Pick<Registry, "getObjectKind">): ShapeCheck {
+    const shaped = (typeof item === "object" ? item : undefined) as { readonly kind?: unknown; readonly name?: unknown; } | undefined;
+    const kindName = String(shaped?.kind);
+    const label = typeof shaped?.name === "string" ? `${kindName}/${shaped.name}` : `object ${position}`;
+    const kind = registry.getObjectKind(kindName);
+    if (kind === undefined) {
+        return { problems: [{ object: label, field: "kind", detail: `${JSON.stringify(shaped?.kind)} is no known kind` }] };
+    }
+    const result = kind.schema.safeParse(item);
+    if (result.success) return { object: result.data as ConfigurationObject, kind, problems: [] };
+    return { problems: result.error.issues.map(issue => ({ object: label, field: issue.path.join("."), detail: issue.message })) };
+}
+
+function createObjectSet(objects: readonly ConfigurationObject[]): ObjectSet {
+    const byKey = new Map(objects.map(object => [`${object.kind}/${object.name}`, object]));
+    const byKind = new Map<string, readonly unknown[]>();
+    return {
+        has: (kind, name) => byKey.has(`${kind}/${name}`),
+        get: (kind, name) => byKey.get(`${kind}/${name}`),
+        list(kind) {
+            const known = byKind.get(kind);
+            if (known !== undefined) return known;
+            const listed = objects.filter(object => object.kind === kind);
+            byKind.set(kind, listed);
+            return listed;
+        },
+    };
+}
--- /dev/null
+++ b/src/control/plugins/index.ts
@@ -0,0 +1,147 @@
+/** Registers control's plug-ins and gathers what the control VM asks of them together. */
+import type { Heartbeat, HeartbeatResult } from "../../kernel/contracts.js";
+import type { ConfigurationView } from "../../kernel/messages.js";
+import type { ControlPlugin, Registry } from "../../kernel/registry.js";
+import type { Incarnation } from "../../kernel/types.js";
+import { createAuditTrail } from "./audit.js";
+import type { Ledger } from "./budgets/ledger.js";
+import { createBudgets } from "./budgets/plugin.js";
+import type { leaseRules } from "./budgets/types.js";
+import { createClaims } from "./claims.js";
+import { createConfiguration } from "./configuration.js";
+import { createFleet } from "./fleet.js";
+import type { FleetState } from "./fleet.js";
+import { createObjectKinds } from "./objectKinds.js";
+import { createOrders } from "./orders.js";
+import { createQuarantine } from "./quarantine.js";
+
+/** State of all plug-ins, as the control VM reads it. */
+export interface ControlState {
+    readonly ledger: Ledger;
+    readonly fleet: FleetState;
+    getConfiguration(): ConfigurationView;
+    /** Index of the last change to what is published. */
+    getRevision(): number;
+    onApplied(index: number): void;
+    listRecalled(incarnation: Incarnation): readonly string[];
+    hasArtifacts(): boolean;
+    answerHeartbeat(heartbeat: Heartbeat, controlTimeMs: number): HeartbeatResult;
+}
+
+/** Options of the plug-ins that tests and measurements set. */
+export interface ControlStateOptions {
+    readonly leaseRules?: typeof leaseRules;
+}
+
+/** Creates all plug-ins and registers them. */
+export function createControlState(
+    register: (plugin: ControlPlugin) => void,
+    registry: Registry,
+    options: ControlStateOptions = {},
+): ControlState {
+    const audit = createAuditTrail();
+    const claims = createClaims();
+    const quarantine = createQuarantine(audit.write);
+    const configuration = createConfiguration({ registry, audit: audit.write, listQuarantined: quarantine.listQuarantined });
+    const budgets = createBudgets({
+        audit: audit.write,
+        getObjects: configuration.getIndex,
+        billRecovered: claims.billRecovered,
+        rules: options.leaseRules,
+    });
+    const { ledger } = budgets;
+    const fleet = createFleet(
+        audit.write,
+        () => [...ledger.listLeases()].filter(lease => lease.state !== "open").map(lease => lease.leaseId),
+    );
+    const orders = createOrders({ getObjects: configuration.getIndex, fleet: fleet.state });
+    const objectKinds = createObjectKinds(ledger.hasOpenLeases);
+    for (
+        const plugin of [
+            audit.plugin,
+            objectKinds,
+            configuration.plugin,
+            budgets.plugin,
+            claims.plugin,
+            fleet.plugin,
+            quarantine.plugin,
+            orders,
+        ]
+    ) {
+        register(plugin);
+    }
+    let revision = 0;
+    let publishedKey = getPublishedKey();
+    let entriesIndex = 0;
+    let entriesKey = "";
+    // Restored state counts as one change, so that watchers look again.
+    register({
+        name: "status",
+        queries: {
+            "control.status": (_input, nowMs) => ({ version: configuration.getVersion(), appliedIndex: revision, controlTimeMs: nowMs }),
+        },
+    });
+    register({
+        name: "revision",
+        sections: [{
+            name: "revision",
+            save: () => ({ revision, entriesIndex }),
+            load(data) {
+                const saved = data as { revision: number; entriesIndex: number; };
+                revision = saved.revision;
+                entriesIndex = saved.entriesIndex;
+                publishedKey = getPublishedKey();
+                entriesKey = getEntriesKey();
+            },
+        }],
+    });
+
+    return {
+        ledger,
+        fleet: fleet.state,
+        getConfiguration: configuration.getView,
+        getRevision: () => revision,
+        onApplied(index) {
+            const key = getPublishedKey();
+            if (key !== publishedKey) {
+                publishedKey = key;
+                revision = index;
+            }
+            const newEntriesKey = getEntriesKey();
+            if (newEntriesKey !== entriesKey) {
+                entriesKey = newEntriesKey;
+                entriesIndex = index;
+            }
+        },
+        listRecalled: ledger.listRecalled,
+        hasArtifacts: () => configuration.getIndex().list("backendServerPool").some(pool => pool.artifacts.length > 0),
+        answerHeartbeat(heartbeat, controlTimeMs) {
+            const agent = fleet.state.agents.get(heartbeat.incarnation);
+            const pending = orders.queries!["orders.for"]!({ backendServer: heartbeat.backendServer }, controlTimeMs);
+            return {
+                isKnown: agent !== undefined && !agent.isSuperseded,
+                isDraining: agent?.isDraining ?? false,
+                closedLeaseIds: heartbeat.leaseIds.filter(leaseId => ledger.getLease(leaseId) === undefined),
+                entriesIndex,
+                entries: heartbeat.entriesIndex === entriesIndex ? undefined : listEntries(),
+                epoch: pending.epoch,
+                orders: pending.orders,
+            };
+        },
+    };
+
+    function listEntries() {
+        return [...fleet.state.entries.values()]
+            .filter(entry => !entry.isSuperseded)
+            .map(({ vm, failureDomain, incarnation, address }) => ({ vm, failureDomain, incarnation, address }));
+    }
+
+    function getPublishedKey(): string {
+        const held = quarantine.listQuarantined().map(view => view.fingerprint);
+        return `${configuration.getVersion()} ${held.join(" ")}`;
+    }
+
+    function getEntriesKey(): string {
+        return listEntries().map(entry => entry.incarnation).join(" ");
+    }
+}
--- /dev/null
+++ b/src/control/plugins/quarantine.ts
@@ -0,0 +1,147 @@
+/**
+ * Requests that may have crashed backend servers. A fingerprint that was in flight at two crashes is held
+ * back fleet-wide until its entry expires. Crashes that came together in one failure domain count for nothing.
+ */
+import type { CrashReport, QuarantineView, Suspicion } from "../../kernel/messages.js";
+import type { ControlPlugin } from "../../kernel/registry.js";
+import type { AuditWriter } from "./audit.js";
+
+/** The plug-in and what the configuration publishes of it. */
+export interface Quarantine {
+    readonly plugin: ControlPlugin;
+    listQuarantined(): readonly QuarantineView[];
+}
+
+interface Crash {
+    readonly backendServer: string;
+    readonly incarnation: string;
+    readonly failureDomain: string;
+    readonly atMs: number;
+    readonly isSolo: boolean;
+}
+
+interface Suspect {
+    readonly fingerprint: string;
+    readonly crashes: readonly Crash[];
+    readonly expiresAtMs: number;
+}
+
+/** Crashes after which a fingerprint is held back. */
+export const crashesToQuarantine = 2;
+const quarantineMs = 3_600_000;
+/** Crashes of this many backend servers of one failure domain within the window are one loss, not many crashes. */
+const correlatedServers = 3;
+const correlatedWindowMs = 5_000;
+
+/** Creates the quarantine plug-in. */
+export function createQuarantine(audit: AuditWriter): Quarantine {
+    const suspects = new Map<string, Suspect>();
+    let recent: readonly Crash[] = [];
+
+    return {
+        listQuarantined: () => [...suspects.values()].map(createView).filter(view => view.suspicion === "quarantined"),
+        plugin: {
+            name: "quarantine",
+            commands: {
+                "quarantine.report": ({ crashes }, context) => {
+                    dropExpired(context.nowMs);
+                    for (const crash of crashes) noteRecent(crash, context.nowMs);
+                    for (const crash of crashes) addCrash(crash, context.nowMs);
+                    const suspicions = Object.fromEntries(
+                        crashes.map(crash => [crash.fingerprint, getSuspicion(suspects.get(crash.fingerprint))]),
+                    );
+                    for (const [fingerprint, suspicion] of Object.entries(suspicions)) {
+                        if (suspicion !== "quarantined") continue;
+                        audit(context, {
+                            actor: "control",
+                            action: "quarantine",
+                            outcome: "held back",
+                            detail: fingerprint,
+                            content: fingerprint,
+                        });
+                    }
+                    return { suspicions };
+                },
+                "quarantine.exonerate": ({ fingerprint }) => {
+                    const isSuspect = getSuspicion(suspects.get(fingerprint)) === "suspect";
+                    if (isSuspect) suspects.delete(fingerprint);
+                    return { isKnown: isSuspect };
+                },
+                "quarantine.clear": ({ fingerprint, actor }, context) => {
+                    const isKnown = suspects.delete(fingerprint);
+                    const outcome = isKnown ? "accepted" : "unknown";
+                    audit(context, { actor, action: "clearQuarantine", outcome, detail: fingerprint, content: fingerprint });
+                    return { isKnown };
+                },
+            },
+            queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView) }) },
+            sections: [{
+                name: "quarantine",
+                save: () => ({ suspects: [...suspects.values()], recent }),
+                load(data) {
+                    const saved = data as { suspects: Suspect[]; recent: Crash[]; };
+                    suspects.clear();
+                    for (const suspect of saved.suspects) suspects.set(suspect.fingerprint, suspect);
+                    recent = saved.recent;
+                },
+            }],
+        },
+    };
+
+    function noteRecent(report: CrashReport, nowMs: number): void {
+        const { backendServer, incarnation, failureDomain, isSolo } = report;
+        recent = [...recent.filter(crash => crash.atMs >= nowMs - correlatedWindowMs), {
+            backendServer,
+            incarnation,
+            failureDomain,
+            isSolo,
+            atMs: nowMs,
+        }];
+        if (!isCorrelated(failureDomain)) return;
+        // The crashes that came just before belong to the same loss, so they are taken back.
+        for (const suspect of suspects.values()) {
+            const crashes = suspect.crashes.filter(crash =>
+                crash.failureDomain !== failureDomain || crash.isSolo || crash.atMs < nowMs - correlatedWindowMs
+            );
+            if (crashes.length === 0) suspects.delete(suspect.fingerprint);
+            else suspects.set(suspect.fingerprint, { ...suspect, crashes });
+        }
+    }
+
+    function isCorrelated(failureDomain: string): boolean {
+        const servers = new Set(
+            recent.filter(crash => crash.failureDomain === failureDomain && !crash.isSolo).map(crash => crash.backendServer),
+        );
+        return servers.size >= correlatedServers;
+    }
+
+    function addCrash(report: CrashReport, nowMs: number): void {
+        if (!report.isSolo && isCorrelated(report.failureDomain)) return;
+        const { fingerprint, backendServer, incarnation, failureDomain, isSolo } = report;
+        const known = suspects.get(fingerprint)?.crashes ?? [];
+        // One crash may be reported by several entries.
+        if (known.some(crash => crash.backendServer === backendServer && crash.incarnation === incarnation)) return;
+        const crashes = [...known, { backendServer, incarnation, failureDomain, isSolo, atMs: nowMs }];
+        suspects.set(fingerprint, { fingerprint, crashes, expiresAtMs: nowMs + quarantineMs });
+    }
+
+    function dropExpired(nowMs: number): void {
+        for (const suspect of suspects.values()) {
+            if (suspect.expiresAtMs < nowMs) suspects.delete(suspect.fingerprint);
+        }
+    }
+}
+
+function getSuspicion(suspect: Suspect | undefined): Suspicion {
+    if (suspect === undefined) return "clear";
+    return suspect.crashes.length >= crashesToQuarantine ? "quarantined" : "suspect";
+}
+
+function createView(suspect: Suspect): QuarantineView {
+    return {
+        fingerprint: suspect.fingerprint,
+        suspicion: getSuspicion(suspect),
+        crashes: suspect.crashes.length,
+        expiresAtMs: suspect.expiresAtMs,
+    };
+}
--- /dev/null
+++ b/src/control/stateMachine.ts
@@ -0,0 +1,93 @@
+/**
+ * The state machine behind the log: it hands commands to the plug-ins' handlers and keeps the results of
+ * operations, so that a resend after a lost answer gets the first result.
+ */
+import { getDigest } from "../kernel/digest.js";
+import type { CommandKind } from "../kernel/messages.js";
+import type { ApplyContext, Registry } from "../kernel/registry.js";
+import type { StateMachine } from "./log/replica.js";
+
+/** What an applied command returns to its proposer. */
+export type ApplyOutcome =
+    | { readonly kind: "ok"; readonly result: unknown; readonly index: number; readonly controlTimeMs: number; }
+    /** The operation id was used before for another command. */
+    | { readonly kind: "operationConflict"; };
+
+type Retention = "none" | "short" | "long";
+
+/** How long the result of each kind is kept. Commands of cumulative totals need none. */
+const retentions: Readonly<Record<CommandKind, Retention>> = {
+    "configuration.apply": "none",
+    "budgets.topUp": "long",
+    "budgets.release": "long",
+    "leases.renew": "none",
+    "leases.beginRecovery": "none",
+    "leases.finishRecovery": "none",
+    "claims.open": "none",
+    "claims.finish": "none",
+    "claims.release": "none",
+    "fleet.announceAgent": "none",
+    "fleet.announceEntry": "none",
+    "fleet.leave": "none",
+    "fleet.markLost": "none",
+    "fleet.markPresent": "none",
+    "fleet.drain": "short",
+    "quarantine.report": "short",
+    "quarantine.exonerate": "none",
+    "quarantine.clear": "short",
+    "orders.plan": "none",
+    "orders.done": "none",
+};
+
+/** Control time for which results are kept. */
+const retentionMs: Readonly<Record<Exclude<Retention, "none">, number>> = {
+    short: 10 * 60_000,
+    long: 30 * 24 * 3_600_000,
+};
+
+interface KeptResult {
+    readonly digest: string;
+    readonly outcome: ApplyOutcome;
+    readonly appliedAtMs: number;
+}
+
+type KeptResults = Map<string, KeptResult>;
+
+/** Creates the state machine over a registry. */
+export function createStateMachine(registry: Registry): StateMachine {
+    const kept: Record<Exclude<Retention, "none">, KeptResults> = { short: new Map(), long: new Map() };
+    return {
+        apply(entry, context): ApplyOutcome {
+            const kind = entry.command as CommandKind;
+            const retention = retentions[kind];
+            if (retention === "none") return run(kind, entry.input, context);
+            const results = kept[retention];
+            dropExpired(results, context.nowMs - retentionMs[retention]);
+            const digest = getDigest([kind, entry.input]);
+            const first = results.get(entry.operationId);
+            if (first !== undefined) return first.digest === digest ? first.outcome : { kind: "operationConflict" };
+            const outcome = run(kind, entry.input, context);
+            results.set(entry.operationId, { digest, outcome, appliedAtMs: context.nowMs });
+            return outcome;
+        },
+        save: () => ({ sections: registry.saveSections(), short: [...kept.short], long: [...kept.long] }),
+        load(state) {
+            const saved = state as { sections: Record<string, unknown>; short: [string, KeptResult][]; long: [string, KeptResult][]; };
+            registry.loadSections(saved.sections);
+            kept.short = new Map(saved.short);
+            kept.long = new Map(saved.long);
+        },
+    };
+
+    function run(kind: CommandKind, input: unknown, context: ApplyContext): ApplyOutcome {
+        return { kind: "ok", result: registry.apply(kind, input, context), index: context.index, controlTimeMs: context.nowMs };
+    }
+}
+
+// Results stand in the order in which they were applied, so the oldest come first.
+function dropExpired(results: KeptResults, beforeMs: number): void {
+    for (const [operationId, result] of results) {
+        if (result.appliedAtMs >= beforeMs) return;
+        results.delete(operationId);
+    }
+}
