Add the agent and the stand-in backend servers

The agent is the last gate before a backend server, with lease counters and a stream buffer. Stand-ins: model engine, plain service, weight store, and fake hosts on virtual time.

--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,189 @@
+/** The agent beside one backend server: last gate, stream buffer, lease counters, reports and orders. */
+import { createAgentRouter } from "../kernel/contracts.js";
+import type { AgentApi } from "../kernel/contracts.js";
+import type { ControlClient } from "../kernel/controlClient.js";
+import { messages } from "../kernel/diagnostics.js";
+import type { MessageCode } from "../kernel/diagnostics.js";
+import type { Host, HttpRequest, HttpResponse } from "../kernel/host.js";
+import { dispatchSchema } from "../kernel/messages.js";
+import type { AgentAnnouncement, AgentRefusal, Dispatch, Frame } from "../kernel/messages.js";
+import { repeat, sleep } from "../kernel/tasks.js";
+import { findRefusal } from "./gate.js";
+import type { GateState } from "./gate.js";
+import { createLeaseCounters } from "./leaseCounters.js";
+import { createReporter } from "./reporter.js";
+import { createRunner } from "./runner.js";
+import { createStreamBuffer } from "./streams.js";
+import type { EngineAdapter } from "./types.js";
+
+/** Options of an agent. */
+export interface AgentOptions {
+    readonly announcement: AgentAnnouncement;
+    readonly adapter: EngineAdapter;
+    readonly control: ControlClient;
+    readonly maxBufferBytes?: number;
+    /** Header value that entries must send. Checked where the host's network does not. */
+    readonly isAuthentic?: (request: HttpRequest) => boolean;
+}
+
+/** A running agent. */
+export interface Agent {
+    readonly router: ReturnType<typeof createAgentRouter>;
+    readonly api: AgentApi;
+    readonly incarnation: string;
+    handle(request: HttpRequest, response: HttpResponse): Promise<void>;
+    start(): void;
+    isReady(): boolean;
+    getRunningCount(): number;
+    /** Refuses new work at once, finishes what runs, tells control, then ends. */
+    stop(): Promise<void>;
+    /** Ends at once, as a crash does. */
+    halt(): void;
+}
+
+const defaultBufferBytes = 64 * 1024 * 1024;
+const maxUnreadFrames = 256;
+const sweepMs = 1_000;
+const queuedPerRunning = 2;
+const leaveTimeoutMs = 5_000;
+const drainPollMs = 50;
+
+/** Creates an agent. It serves nothing until control has heard its announcement. */
+export function createAgent(host: Host, options: AgentOptions): Agent {
+    const { announcement, control } = options;
+    const { incarnation } = announcement;
+    const log = host.createLogger("agent");
+    const stopping = new AbortController();
+    const streams = createStreamBuffer(host, { maxBytes: options.maxBufferBytes ?? defaultBufferBytes, maxUnreadFrames });
+    const counters = createLeaseCounters();
+    const runner = createRunner(host, { adapter: options.adapter, streams, counters });
+    const reporter = createReporter(host, {
+        announcement,
+        adapter: options.adapter,
+        control,
+        counters,
+        runner,
+        stopSignal: stopping.signal,
+    });
+    let isStopping = false;
+
+    const gateState: GateState = {
+        incarnation,
+        get isAnnounced() {
+            return reporter.isAnnounced();
+        },
+        get isStopping() {
+            return isStopping;
+        },
+        get isDraining() {
+            return reporter.isDraining();
+        },
+        get isHealthy() {
+            return reporter.isHealthy();
+        },
+        get runningRequests() {
+            return runner.getRunningCount();
+        },
+        get isReservedForSolo() {
+            return runner.hasSolo();
+        },
+        maxRequests: announcement.maxConcurrent * (1 + queuedPerRunning),
+        time: control.time,
+        counters,
+        hasRequest: requestId => streams.get(requestId) !== undefined || runner.isCancelled(requestId),
+    };
+
+    const api: AgentApi = {
+        async closeLeases(request) {
+            if (request.incarnation !== incarnation) return { kind: "otherIncarnation", incarnation };
+            for (const leaseId of request.leaseIds) counters.close(leaseId);
+            return { kind: "closed", uses: request.leaseIds.map(counters.getUse) };
+        },
+        cancel: request => runner.cancel(request),
+    };
+
+    return {
+        api,
+        router: createAgentRouter(api),
+        incarnation,
+        handle,
+        start() {
+            reporter.start();
+            void repeat(host.timers, sweepMs, stopping.signal, async () => {
+                streams.sweep();
+                runner.stopOrphans();
+            }, () => undefined);
+        },
+        isReady: () => reporter.isAnnounced() && reporter.isHealthy() && !isStopping,
+        getRunningCount: () => runner.getRunningCount(),
+        async stop() {
+            isStopping = true;
+            reporter.setLeaving();
+            while (runner.getRunningCount() > 0 || runner.getReaderCount() > 0) await sleep(host.timers, drainPollMs);
+            await control.submit("fleet.leave", { incarnation, uses: [...counters.listUses()] }, { timeoutMs: leaveTimeoutMs });
+            stopping.abort();
+            log.info("This agent has finished its work and stops.");
+        },
+        halt() {
+            isStopping = true;
+            stopping.abort();
+            runner.halt();
+        },
+    };
+
+    async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
+        const url = new URL(request.path, "http://agent");
+        if (options.isAuthentic?.(request) === false) {
+            return answer(response, 401, { code: "unauthenticated", detail: messages.unauthenticated.text });
+        }
+        if (request.method === "POST" && url.pathname === "/dispatch") return onDispatch(request, response);
+        if (request.method === "GET" && url.pathname.startsWith("/streams/")) return onResume(url, request, response);
+        return answer(response, 404, { code: "unknownPath", detail: messages.unknownPath.text });
+    }
+
+    // From the check to the start there is no wait, so that no pause can fall between them.
+    async function onDispatch(request: HttpRequest, response: HttpResponse): Promise<void> {
+        const dispatch = tryReadDispatch(request);
+        if (dispatch === undefined) return answer(response, 400, { code: "badRequest", detail: "the dispatch envelope cannot be read" });
+        const code = findRefusal(dispatch, gateState);
+        if (code !== undefined) return answer(response, 409, createRefusal(code));
+        const stream = runner.start(dispatch, request.body);
+        await sendFrames(response, stream.read(0, request.signal));
+    }
+
+    async function onResume(url: URL, request: HttpRequest, response: HttpResponse): Promise<void> {
+        const requestId = decodeURIComponent(url.pathname.slice("/streams/".length));
+        const stream = streams.get(requestId);
+        if (url.searchParams.get("incarnation") !== incarnation) return answer(response, 409, createRefusal("staleIncarnation"));
+        if (stream === undefined) return answer(response, 404, createRefusal("answerLost"));
+        await sendFrames(response, stream.read(Number(url.searchParams.get("from") ?? 0), request.signal));
+    }
+}
+
+/** Header that carries the dispatch envelope. */
+export const dispatchHeader = "lovage-dispatch";
+
+function tryReadDispatch(request: HttpRequest): Dispatch | undefined {
+    try {
+        return dispatchSchema.parse(JSON.parse(decodeURIComponent(request.headers[dispatchHeader] ?? "")));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function createRefusal(code: MessageCode): AgentRefusal {
+    return { code, detail: messages[code].text };
+}
+
+async function answer(response: HttpResponse, status: number, refusal: AgentRefusal): Promise<void> {
+    response.start(status, { "content-type": "application/json" });
+    await response.write(Buffer.from(JSON.stringify(refusal)));
+    response.end();
+}
+
+async function sendFrames(response: HttpResponse, frames: AsyncIterable<Frame>): Promise<void> {
+    response.start(200, { "content-type": "application/x-ndjson" });
+    for await (const frame of frames) await response.write(Buffer.from(JSON.stringify(frame) + "\n"));
+    response.end();
+}
--- /dev/null
+++ b/src/agent/runner.ts
@@ -0,0 +1,191 @@
+/** Runs dispatched requests on the backend server and keeps their bills. */
+import type { CancelReply, CancelRequest } from "../kernel/contracts.js";
+import { assert } from "../kernel/debug.js";
+import type { Host } from "../kernel/host.js";
+import type { Dispatch } from "../kernel/messages.js";
+import { sleep } from "../kernel/tasks.js";
+import { getBilledTokens } from "../kernel/types.js";
+import type { TokenUsage } from "../kernel/types.js";
+import { createVerdict } from "../kernel/verdict.js";
+import type { Verdict } from "../kernel/verdict.js";
+import type { CountedAttempt, LeaseCounters } from "./leaseCounters.js";
+import type { AnswerStream, StreamBuffer } from "./streams.js";
+import type { EngineAdapter, RunOutcome } from "./types.js";
+
+/** What the runner works with. */
+export interface RunnerOptions {
+    readonly adapter: EngineAdapter;
+    readonly streams: StreamBuffer;
+    readonly counters: LeaseCounters;
+}
+
+/** Runs of this agent. */
+export interface Runner {
+    /** Starts a dispatch that the gate let through. Synchronous up to the start. */
+    start(dispatch: Dispatch, body: Uint8Array): AnswerStream;
+    cancel(request: CancelRequest): Promise<CancelReply>;
+    /** True when a cancel came before its attempt. */
+    isCancelled(requestId: string): boolean;
+    /** Stops idempotent runs without a key whose answer nobody has read for a while. */
+    stopOrphans(): void;
+    /** True while a suspect runs, or waits to run, alone. */
+    hasSolo(): boolean;
+    getRunningCount(): number;
+    getReaderCount(): number;
+    halt(): void;
+}
+
+interface Run {
+    readonly dispatch: Dispatch;
+    readonly stream: AnswerStream;
+    readonly abort: AbortController;
+    /** True when the attempt is to be billed for what it generated before it was stopped. */
+    isStopBilled: boolean;
+    billedTokens: number;
+    isFinished: boolean;
+}
+
+/** Time for which a finished answer is held: with a key for retries, without one for a dropped connection. */
+const retentionMs = { keyed: 600_000, unkeyed: 30_000 } as const;
+const orphanMs = 15_000;
+const maxCancelled = 10_000;
+const soloPollMs = 20;
+/** Ids of non-idempotent requests that were started, kept so that a late question is answered truly. */
+const maxStarted = 200_000;
+
+/** Creates a runner with nothing running. */
+export function createRunner(host: Host, options: RunnerOptions): Runner {
+    const { adapter, streams, counters } = options;
+    const runs = new Map<string, Run>();
+    const cancelled = new Set<string>();
+    const started = new Set<string>();
+    let isHalted = false;
+
+    return {
+        isCancelled: requestId => cancelled.has(requestId),
+        start(dispatch, body) {
+            assert(!runs.has(dispatch.requestId), `request ${dispatch.requestId} runs already`);
+            const stream = streams.open(
+                dispatch.requestId,
+                dispatch.idempotencyKey === undefined ? retentionMs.unkeyed : retentionMs.keyed,
+            );
+            const attempt = getAttempt(dispatch);
+            if (attempt !== undefined) counters.start(attempt);
+            const abort = new AbortController();
+            const run: Run = { dispatch, stream, abort, isStopBilled: false, billedTokens: 0, isFinished: false };
+            runs.set(dispatch.requestId, run);
+            if (!dispatch.isIdempotent) started.add(dispatch.requestId);
+            void execute(run, body);
+            return stream;
+        },
+        async cancel({ requestId, isBilled }) {
+            const run = runs.get(requestId);
+            if (run === undefined) {
+                if (started.has(requestId)) return { state: "finished", billedTokens: 0 };
+                // An attempt that comes after its cancel finds its id taken, so that it can never start.
+                cancelled.add(requestId);
+                return { state: "unknown", billedTokens: 0 };
+            }
+            if (run.isFinished) {
+                if (!isBilled) unbill(run);
+                return { state: "finished", billedTokens: run.billedTokens };
+            }
+            // What may not be repeated runs to its end, and its bill stands.
+            if (!run.dispatch.isIdempotent) return { state: "finished", billedTokens: run.dispatch.lease?.reservedTokens ?? 0 };
+            run.isStopBilled = isBilled;
+            run.abort.abort();
+            while (!run.isFinished) await sleep(host.timers, 5);
+            return { state: "stopped", billedTokens: run.billedTokens };
+        },
+        stopOrphans() {
+            dropOldest(cancelled, maxCancelled);
+            dropOldest(started, maxStarted);
+            const nowMs = host.clock.nowMs();
+            for (const run of runs.values()) {
+                const { dispatch, stream } = run;
+                const isUnread = stream.unreadSinceMs !== undefined && nowMs - stream.unreadSinceMs > orphanMs;
+                if (!run.isFinished && dispatch.isIdempotent && dispatch.idempotencyKey === undefined && isUnread) run.abort.abort();
+                if (run.isFinished && streams.get(dispatch.requestId) === undefined) runs.delete(dispatch.requestId);
+            }
+        },
+        hasSolo: () => listRunning().some(run => run.dispatch.isSolo),
+        getRunningCount: () => listRunning().length,
+        getReaderCount: () => [...runs.values()].reduce((sum, run) => sum + run.stream.readerCount, 0),
+        halt() {
+            isHalted = true;
+            for (const run of runs.values()) run.abort.abort();
+        },
+    };
+
+    function listRunning(): readonly Run[] {
+        return [...runs.values()].filter(run => !run.isFinished);
+    }
+
+    // A suspect waits until it is alone. The gate lets nothing else in meanwhile.
+    async function waitForTurn(run: Run): Promise<void> {
+        while (run.dispatch.isSolo && listRunning().length > 1 && !run.abort.signal.aborted) {
+            await sleep(host.timers, soloPollMs, run.abort.signal);
+        }
+    }
+
+    async function execute(run: Run, body: Uint8Array): Promise<void> {
+        const { dispatch, stream } = run;
+        if (dispatch.isSolo) await waitForTurn(run);
+        const cancelDeadline = dispatch.isIdempotent ? host.timers.after(dispatch.timeoutMs, () => run.abort.abort()) : () => undefined;
+        const outcome = await adapter.run(dispatch, body, run.abort.signal, {
+            head: (status, contentType) => void stream.push({ kind: "head", status, contentType }),
+            chunk: data => stream.push({ kind: "chunk", data }),
+        }).catch((error: unknown): RunOutcome => ({ kind: "broken", detail: String(error) }));
+        cancelDeadline();
+        if (isHalted) return;
+        settle(run, outcome);
+        if (outcome.kind === "finished") await stream.push({ kind: "end", ...outcome.usage });
+        else await stream.push({ kind: "failed", verdict: toVerdict(outcome) });
+    }
+
+    function settle(run: Run, outcome: RunOutcome): void {
+        const attempt = getAttempt(run.dispatch);
+        const usage = getUsage(run, outcome);
+        run.billedTokens = usage === undefined ? 0 : Math.min(getBilledTokens(usage), attempt?.reservedTokens ?? 0);
+        run.isFinished = true;
+        if (attempt !== undefined) counters.finish(attempt, run.billedTokens);
+    }
+
+    function getUsage(run: Run, outcome: RunOutcome): TokenUsage | undefined {
+        if (outcome.kind === "finished") return outcome.usage;
+        return outcome.kind === "stopped" && run.isStopBilled ? outcome.usage : undefined;
+    }
+
+    function unbill(run: Run): void {
+        const attempt = getAttempt(run.dispatch);
+        if (attempt !== undefined && run.billedTokens > 0) counters.unbill(attempt, run.billedTokens);
+        run.billedTokens = 0;
+    }
+}
+
+function dropOldest(ids: Set<string>, maxIds: number): void {
+    for (const id of ids) {
+        if (ids.size <= maxIds) return;
+        ids.delete(id);
+    }
+}
+
+function getAttempt(dispatch: Dispatch): CountedAttempt | undefined {
+    if (dispatch.lease === undefined) return undefined;
+    const { requestId, clientAccount, idempotencyKey } = dispatch;
+    return { ...dispatch.lease, requestId, clientAccount, idempotencyKey };
+}
+
+/** What the caller is told of each outcome that is no answer. */
+function toVerdict(outcome: Exclude<RunOutcome, { kind: "finished"; }>): Verdict {
+    switch (outcome.kind) {
+        case "notRun":
+            return createVerdict("notRun", "backendServerRefused");
+        case "refused":
+            return createVerdict("notRun", "backendServerRefused", outcome.detail);
+        case "broken":
+            return createVerdict("mayHaveRun", "backendServerCrashed");
+        case "stopped":
+            return createVerdict("mayHaveRun", "deadlineExceeded", "The request was stopped before it finished.");
+    }
+}
--- /dev/null
+++ b/src/standins/fakeDisk.ts
@@ -0,0 +1,119 @@
+/** A fake disk: what is not synced may be lost or torn by a crash, and names last only once their folder is synced. */
+import type { Disk } from "../kernel/host.js";
+
+/** A disk that outlives the processes that use it. */
+export interface FakeDisk {
+    createDisk(isAlive: () => boolean): Disk;
+    /** Loses or tears what was not synced. */
+    crash(): void;
+    /** Removes everything, as a replaced disk does. */
+    wipe(): void;
+    /** Flips one bit of a synced file. */
+    flipBit(file: string, byteOffset: number): void;
+    listFiles(): readonly string[];
+    getSizeBytes(file: string): number;
+    /** Fails every write while true, as a full disk does. */
+    setFull(isFull: boolean): void;
+}
+
+interface Inode {
+    data: Buffer;
+    syncedBytes: number;
+}
+
+/** Creates an empty disk. */
+export function createFakeDisk(random: () => number): FakeDisk {
+    let names = new Map<string, Inode>();
+    let durableNames = new Map<string, Inode>();
+    let isFull = false;
+
+    return {
+        createDisk,
+        crash() {
+            names = new Map(durableNames);
+            for (const inode of names.values()) {
+                const unsyncedBytes = inode.data.length - inode.syncedBytes;
+                const keptBytes = inode.syncedBytes + Math.floor(random() * (unsyncedBytes + 1));
+                inode.data = inode.data.subarray(0, keptBytes);
+                inode.syncedBytes = keptBytes;
+            }
+        },
+        wipe() {
+            names.clear();
+            durableNames.clear();
+        },
+        flipBit(file, byteOffset) {
+            const inode = names.get(file)!;
+            inode.data = Buffer.from(inode.data);
+            inode.data[byteOffset]! ^= 1;
+        },
+        listFiles: () => [...names.keys()].sort(),
+        getSizeBytes: file => names.get(file)?.data.length ?? 0,
+        setFull(value) {
+            isFull = value;
+        },
+    };
+
+    function createDisk(isAlive: () => boolean): Disk {
+        // A dead process's writes go nowhere, and its calls never return.
+        const guard = async (): Promise<void> => {
+            if (!isAlive()) await new Promise<never>(() => undefined);
+        };
+        const guardWrite = async (): Promise<void> => {
+            await guard();
+            if (isFull) throw new Error("no space left on the disk");
+        };
+        const getInode = (file: string): Inode => {
+            const inode = names.get(file);
+            if (inode === undefined) throw new Error(`${file} does not exist`);
+            return inode;
+        };
+        return {
+            ensureFolder: guard,
+            async list(folder) {
+                await guard();
+                return [...names.keys()].filter(file => file.startsWith(`${folder}/`)).map(file => file.slice(folder.length + 1)).sort();
+            },
+            async read(file) {
+                await guard();
+                const inode = names.get(file);
+                return inode === undefined ? undefined : Buffer.from(inode.data);
+            },
+            async append(file, data) {
+                await guardWrite();
+                const inode = names.get(file) ?? { data: Buffer.alloc(0), syncedBytes: 0 };
+                inode.data = Buffer.concat([inode.data, data]);
+                names.set(file, inode);
+            },
+            async write(file, data) {
+                await guardWrite();
+                names.set(file, { data: Buffer.from(data), syncedBytes: 0 });
+            },
+            async truncate(file, sizeBytes) {
+                await guard();
+                const inode = getInode(file);
+                inode.data = inode.data.subarray(0, sizeBytes);
+                inode.syncedBytes = Math.min(inode.syncedBytes, sizeBytes);
+            },
+            async rename(from, to) {
+                await guard();
+                names.set(to, getInode(from));
+                names.delete(from);
+            },
+            async remove(file) {
+                await guard();
+                names.delete(file);
+            },
+            async sync(file) {
+                await guardWrite();
+                getInode(file).syncedBytes = getInode(file).data.length;
+            },
+            async syncFolder(folder) {
+                await guard();
+                const isInside = (file: string) => file.startsWith(`${folder}/`);
+                const outside = [...durableNames].filter(([file]) => !isInside(file));
+                durableNames = new Map([...outside, ...[...names].filter(([file]) => isInside(file))]);
+            },
+        };
+    }
+}
