--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,279 @@
+/** A whole fleet of real parts on fake hosts: control, entries, agents before stand-in backend servers, and callers. */
+import type { Agent } from "../src/agent/agent.js";
+import type { Control } from "../src/control/control.js";
+import type { Member } from "../src/control/log/types.js";
+import type { leaseRules } from "../src/control/plugins/budgets/types.js";
+import type { Entry } from "../src/entry/entry.js";
+import { createControlClient } from "../src/kernel/controlClient.js";
+import type { ControlClient } from "../src/kernel/controlClient.js";
+import { getSha256 } from "../src/kernel/digest.js";
+import type { FakeVm, FakeWorld } from "../src/standins/fakeHost.js";
+import { createModelEngine } from "../src/standins/modelEngine.js";
+import type { ModelEngine, ModelEngineOptions } from "../src/standins/modelEngine.js";
+import { createPlainService } from "../src/standins/plainService.js";
+import type { PlainService } from "../src/standins/plainService.js";
+import type { RunningProcess } from "../src/wiring.js";
+import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
+import type { EntrySettings } from "../src/wiring.js";
+
+/** Sizes and settings of a fleet. */
+export interface FleetOptions {
+    readonly controls: number;
+    readonly entries: number;
+    readonly engines: number;
+    readonly services: number;
+    readonly objects: readonly unknown[];
+    readonly topUps: Readonly<Record<string, number>>;
+    readonly engine?: Partial<ModelEngineOptions>;
+    readonly entryOverrides?: EntrySettings["overrides"];
+    readonly leaseRules?: typeof leaseRules;
+    readonly snapshotEveryEntries?: number;
+    /** Speed of each engine relative to the first, for fleets of mixed hardware. */
+    readonly engineSpeeds?: readonly number[];
+}
+
+/** One process with its VM. */
+export interface FleetMember<T> {
+    readonly vm: FakeVm;
+    process: RunningProcess<T> | undefined;
+}
+
+/** An agent with its backend server, which lives on the same VM. */
+export interface Worker extends FleetMember<Agent> {
+    readonly name: string;
+    engine: ModelEngine | undefined;
+    service: PlainService | undefined;
+}
+
+/** A running fleet. */
+export interface Fleet {
+    readonly world: FakeWorld;
+    readonly controls: readonly FleetMember<Control>[];
+    readonly entries: readonly FleetMember<Entry>[];
+    readonly workers: readonly Worker[];
+    readonly operator: ControlClient;
+    readonly callerVm: FakeVm;
+    /** Engines and services of all lives, for comparison with what callers saw. */
+    readonly engines: readonly ModelEngine[];
+    readonly services: readonly PlainService[];
+    readonly controlAddresses: readonly string[];
+    restartControl(index: number): Promise<void>;
+    restartEntry(index: number): Promise<void>;
+    restartWorker(index: number): Promise<void>;
+    getLeader(): FleetMember<Control> | undefined;
+    getEntryAddress(index: number): string;
+}
+
+const failureDomains = ["pnw-a", "pnw-b", "pnw-c"] as const;
+const groupId = "test";
+const startLimitMs = 60_000;
+
+/** Policy object of each user. */
+export const policies = {
+    cascade: createPolicy("cascade", "overspend"),
+    suhara: createPolicy("suhara", "falseRefusals"),
+} as const;
+
+function createPolicy(name: string, weighsMore: "overspend" | "falseRefusals") {
+    return {
+        kind: "policy",
+        name,
+        weighsMore,
+        maxConcurrentRequests: 10_000,
+        requestsPerSecond: 10_000,
+        burstRequests: 10_000,
+        lostWork: weighsMore === "overspend" ? "hold" : "writeOff",
+    };
+}
+
+/** A set with accounts that have a budget each, one model pool and one service. */
+export function createSet(accountNames: readonly string[], policy: keyof typeof policies, changes: object = {}): readonly unknown[] {
+    const accounts = accountNames.flatMap(name => [
+        { kind: "clientAccount", name, keyDigests: [getSha256(getKey(name))], budget: `budget-${name}`, policy },
+        { kind: "budget", name: `budget-${name}`, clientAccounts: [name], policy },
+    ]);
+    return [
+        policies[policy],
+        ...accounts,
+        { kind: "backendServerPool", name: "lovage-pool", backendServerKind: "modelEngine" },
+        { kind: "backendServerPool", name: "shopdesk", backendServerKind: "plainService" },
+        {
+            kind: "route",
+            name: "lovage-pool",
+            model: "lovage-pool",
+            pool: "lovage-pool",
+            serviceClass: "interactive",
+            timeoutMs: 60_000,
+            maxCompletionTokens: 64,
+            ...changes,
+        },
+        {
+            kind: "route",
+            name: "shopdesk",
+            service: "shopdesk",
+            pool: "shopdesk",
+            serviceClass: "interactive",
+            timeoutMs: 20_000,
+            nonIdempotent: [{ method: "POST", pathPrefix: "/orders" }],
+        },
+    ];
+}
+
+/** Key of an account of `createSet`. */
+export function getKey(clientAccount: string): string {
+    return `key-${clientAccount}`;
+}
+
+/** Starts a fleet and waits until every part is ready. */
+export async function createFleet(world: FakeWorld, options: FleetOptions): Promise<Fleet> {
+    const controlAddresses = Array.from({ length: options.controls }, (_, index) => `10.0.1.${index + 1}:7000`);
+    const members: readonly Member[] = controlAddresses.map((address, index) => ({
+        voterId: `v${index + 1}`,
+        address,
+        failureDomain: failureDomains[index % 3]!,
+    }));
+    const engines: ModelEngine[] = [];
+    const services: PlainService[] = [];
+    const controls: FleetMember<Control>[] = members.map((_, index) => ({ vm: world.createVm(`10.0.1.${index + 1}`), process: undefined }));
+    const entries: FleetMember<Entry>[] = Array.from({ length: options.entries }, (_, index) => ({
+        vm: world.createVm(`10.0.2.${index + 1}`),
+        process: undefined,
+    }));
+    const workers: Worker[] = Array.from({ length: options.engines + options.services }, (_, index) => ({
+        vm: world.createVm(`10.0.3.${index + 1}`),
+        process: undefined,
+        name: index < options.engines ? `engine-${index + 1}` : `desk-${index - options.engines + 1}`,
+        engine: undefined,
+        service: undefined,
+    }));
+    const callerVm = world.createVm("10.0.9.1");
+    const operator = createControlClient(world.createVm("10.0.8.1").host, controlAddresses);
+
+    for (const [index, member] of members.entries()) {
+        await initializeControl(controls[index]!.vm.host, { dataFolder: "/data", groupId, voterId: member.voterId }, members);
+        await launchControl(index);
+    }
+    await prepareState();
+    for (const index of workers.keys()) await launchWorker(index);
+    for (const index of entries.keys()) await launchEntry(index);
+    await waitUntilReady();
+    return {
+        world,
+        controls,
+        entries,
+        workers,
+        operator,
+        callerVm,
+        engines,
+        services,
+        controlAddresses,
+        getLeader: () => controls.find(control => control.process?.part.replica.getStatus().role === "leader"),
+        getEntryAddress: index => `10.0.2.${index + 1}:8080`,
+        async restartControl(index) {
+            controls[index]!.vm.restart();
+            await launchControl(index);
+        },
+        async restartEntry(index) {
+            entries[index]!.vm.restart();
+            await launchEntry(index);
+        },
+        async restartWorker(index) {
+            workers[index]!.vm.restart();
+            await launchWorker(index);
+        },
+    };
+
+    async function launchControl(index: number): Promise<void> {
+        const control = controls[index]!;
+        control.process = await startControl(control.vm.host, {
+            vm: `control-${index + 1}`,
+            failureDomain: members[index]!.failureDomain,
+            listen: controlAddresses[index]!,
+            controlAddresses,
+            voterId: members[index]!.voterId,
+            groupId,
+            dataFolder: "/data",
+            operatorToken: "operator",
+            administrationListen: controlAddresses[index]!,
+            leaseRules: options.leaseRules,
+            snapshotEveryEntries: options.snapshotEveryEntries,
+        });
+    }
+
+    async function launchEntry(index: number): Promise<void> {
+        const entry = entries[index]!;
+        entry.process = await startEntry(entry.vm.host, {
+            vm: `entry-${index + 1}`,
+            failureDomain: failureDomains[index % 3]!,
+            listen: `10.0.2.${index + 1}:8080`,
+            fleetListen: `10.0.2.${index + 1}:7100`,
+            controlAddresses,
+            overrides: options.entryOverrides,
+        });
+    }
+
+    async function launchWorker(index: number): Promise<void> {
+        const worker = workers[index]!;
+        const isEngine = index < options.engines;
+        const { host, ip } = worker.vm;
+        worker.engine = isEngine ? createModelEngine(host, scaleEngine(index)) : undefined;
+        worker.service = isEngine ? undefined : createPlainService(host);
+        if (worker.engine !== undefined) engines.push(worker.engine);
+        if (worker.service !== undefined) services.push(worker.service);
+        const handler = worker.engine?.handle ?? worker.service!.handle;
+        await host.network.serve({ address: `${ip}:9000`, handler, maxBodyBytes: 1e9 });
+        worker.process = await startAgent(host, {
+            vm: `agent-${worker.name}`,
+            failureDomain: failureDomains[index % 3]!,
+            listen: `${ip}:7200`,
+            controlAddresses,
+            backendServer: worker.name,
+            backendServerAddress: `${ip}:9000`,
+            kind: isEngine ? "modelEngine" : "plainService",
+            pool: isEngine ? "lovage-pool" : "shopdesk",
+            models: isEngine ? ["lovage-pool"] : [],
+            adapters: [],
+            checksFencing: true,
+            maxConcurrent: options.engine?.maxConcurrent ?? 8,
+            fleetSecret: "",
+        });
+    }
+
+    function scaleEngine(index: number): Partial<ModelEngineOptions> {
+        const speed = options.engineSpeeds?.[index % options.engineSpeeds.length] ?? 1;
+        const { stepMs = 15, stepMsPerSequence = 1, prefillTokensPerSecond = 8_000 } = options.engine ?? {};
+        return {
+            ...options.engine,
+            stepMs: stepMs / speed,
+            stepMsPerSequence: stepMsPerSequence / speed,
+            prefillTokensPerSecond: prefillTokensPerSecond * speed,
+        };
+    }
+
+    async function prepareState(): Promise<void> {
+        const call = { timeoutMs: startLimitMs };
+        const input = { baseVersion: 0, changeId: "first", objects: [...options.objects], actor: "test" };
+        const applied = await world.runUntil(operator.submit("configuration.apply", input, call));
+        if (applied.kind !== "done" || applied.result.outcome !== "accepted") {
+            throw new Error(`the set was refused: ${JSON.stringify(applied)}`);
+        }
+        for (const [budget, tokens] of Object.entries(options.topUps)) {
+            await world.runUntil(
+                operator.submit("budgets.topUp", { budget, tokens, actor: "test" }, { ...call, operationId: `first-${budget}` }),
+            );
+        }
+    }
+
+    async function waitUntilReady(): Promise<void> {
+        for (let waitedMs = 0; waitedMs < startLimitMs; waitedMs += 100) {
+            await world.advance(100);
+            const areReady = entries.every(entry => entry.process!.part.isReady()) &&
+                workers.every(worker => worker.process!.part.isReady());
+            const hasAll = (entry: FleetMember<Entry>) =>
+                entry.process!.part.routing.countCandidates("lovage-pool", world.nowMs()) === options.engines
+                && entry.process!.part.routing.countCandidates("shopdesk", world.nowMs()) === options.services;
+            if (areReady && entries.every(hasAll)) return;
+        }
+        throw new Error(`the fleet did not become ready:\n${world.logLines.slice(-20).join("\n")}`);
+    }
+}
--- /dev/null
+++ b/bin/lovage-agent.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/src/programs/lovage-agent.js";
--- /dev/null
+++ b/src/entry/answers.ts
@@ -0,0 +1,180 @@
+/** What callers receive: answers in each format, and problems with their verdicts. */
+import { messages } from "../kernel/diagnostics.js";
+import type { HttpResponse } from "../kernel/host.js";
+import type { Frame } from "../kernel/messages.js";
+import { verdictHeaders } from "../kernel/verdict.js";
+import type { Verdict } from "../kernel/verdict.js";
+import type { AnswerFormat, Exchange } from "./types.js";
+
+/** Writes one answer to its caller. Pieces come in order; the answer is whole only after `finish`. */
+export interface AnswerWriter {
+    /** True once the caller has seen a part, so that no other attempt can take over. */
+    readonly hasStarted: boolean;
+    head(frame: Extract<Frame, { kind: "head"; }>): void;
+    chunk(data: string): Promise<void>;
+    /** Sends what was held back and ends the answer. */
+    finish(frame: Extract<Frame, { kind: "end"; }>): Promise<void>;
+    /** Tells the caller that the answer is not whole. */
+    fail(verdict: Verdict): Promise<void>;
+}
+
+type WriterFactory = (exchange: Exchange) => AnswerWriter;
+
+const factories: Readonly<Record<AnswerFormat, WriterFactory>> = {
+    eventStream: createEventStreamWriter,
+    completion: createCompletionWriter,
+    raw: createRawWriter,
+};
+
+/** Creates the writer for the request's format. */
+export function createAnswerWriter(exchange: Exchange, format: AnswerFormat): AnswerWriter {
+    return factories[format](exchange);
+}
+
+/** Answers with a problem, in the format of RFC 9457. */
+export async function sendProblem(response: HttpResponse, requestId: string, verdict: Verdict): Promise<void> {
+    if (response.hasStarted) return response.abort();
+    const { status } = messages[verdict.code];
+    const headers: Record<string, string> = {
+        "content-type": "application/problem+json",
+        "lovage-verdict": verdictHeaders[verdict.kind],
+        "lovage-request-id": requestId,
+    };
+    if (verdict.retryAfterMs !== undefined) headers["retry-after"] = String(Math.max(1, Math.ceil(verdict.retryAfterMs / 1_000)));
+    response.start(status, headers);
+    await response.write(Buffer.from(JSON.stringify(createProblem(requestId, verdict))));
+    response.end();
+}
+
+function createProblem(requestId: string, verdict: Verdict) {
+    const { status, title } = messages[verdict.code];
+    return {
+        type: "about:blank",
+        title,
+        status,
+        code: verdict.code,
+        detail: verdict.detail,
+        verdict: verdictHeaders[verdict.kind],
+        requestId,
+    };
+}
+
+function createAnswerHeaders(exchange: Exchange, contentType: string): Record<string, string> {
+    return { "content-type": contentType, "lovage-verdict": verdictHeaders.ran, "lovage-request-id": exchange.requestId };
+}
+
+// The last piece is held back until its bill is durable, so that a whole answer is a billed one.
+function createEventStreamWriter(exchange: Exchange): AnswerWriter {
+    const { response } = exchange;
+    let heldBack: string | undefined;
+    const send = (data: string) => response.write(Buffer.from(`data: ${data}\n\n`));
+    return {
+        get hasStarted() {
+            return response.hasStarted;
+        },
+        head: () => undefined,
+        async chunk(data) {
+            if (!response.hasStarted) {
+                response.start(200, { ...createAnswerHeaders(exchange, "text/event-stream"), "cache-control": "no-store" });
+            }
+            const ready = heldBack;
+            heldBack = data;
+            if (ready !== undefined) await send(ready);
+        },
+        async finish() {
+            if (heldBack !== undefined) await send(heldBack);
+            await send("[DONE]");
+            response.end();
+        },
+        async fail(verdict) {
+            if (!response.hasStarted) return sendProblem(response, exchange.requestId, verdict);
+            await response.write(Buffer.from(`event: error\ndata: ${JSON.stringify(createProblem(exchange.requestId, verdict))}\n\n`));
+            response.end();
+        },
+    };
+}
+
+interface CompletionChunk {
+    readonly id?: string;
+    readonly created?: number;
+    readonly model?: string;
+    readonly choices?: readonly {
+        readonly delta?: { readonly content?: string; };
+        readonly finish_reason?: string;
+    }[];
+}
+
+function createCompletionWriter(exchange: Exchange): AnswerWriter {
+    const { response } = exchange;
+    const parts: string[] = [];
+    let first: CompletionChunk | undefined;
+    let finishReason = "stop";
+    return {
+        get hasStarted() {
+            return response.hasStarted;
+        },
+        head: () => undefined,
+        async chunk(data) {
+            const chunk = JSON.parse(data) as CompletionChunk;
+            first ??= chunk;
+            const choice = chunk.choices?.[0];
+            if (choice?.delta?.content) parts.push(choice.delta.content);
+            if (choice?.finish_reason) finishReason = choice.finish_reason;
+        },
+        async finish(frame) {
+            const completion = {
+                id: first?.id ?? exchange.requestId,
+                object: "chat.completion",
+                created: first?.created ?? 0,
+                model: first?.model ?? exchange.work?.model,
+                choices: [{ index: 0, message: { role: "assistant", content: parts.join("") }, finish_reason: finishReason }],
+                usage: {
+                    prompt_tokens: frame.promptTokens,
+                    completion_tokens: frame.completionTokens,
+                    total_tokens: frame.promptTokens + frame.completionTokens,
+                },
+            };
+            const body = Buffer.from(JSON.stringify(completion));
+            response.start(200, { ...createAnswerHeaders(exchange, "application/json"), "content-length": String(body.length) });
+            await response.write(body);
+            response.end();
+        },
+        fail: verdict => sendProblem(response, exchange.requestId, verdict),
+    };
+}
+
+// The length is not known ahead, so an answer that breaks off ends without its last chunk.
+function createRawWriter(exchange: Exchange): AnswerWriter {
+    const { response } = exchange;
+    let head: Extract<Frame, { kind: "head"; }> | undefined;
+    let heldBack: Buffer | undefined;
+    const start = () => {
+        if (!response.hasStarted) {
+            response.start(head?.status ?? 200, createAnswerHeaders(exchange, head?.contentType ?? "application/octet-stream"));
+        }
+    };
+    return {
+        get hasStarted() {
+            return response.hasStarted;
+        },
+        head(frame) {
+            head = frame;
+        },
+        async chunk(data) {
+            const ready = heldBack;
+            heldBack = Buffer.from(data, "base64");
+            if (ready === undefined) return;
+            start();
+            await response.write(ready);
+        },
+        async finish() {
+            start();
+            if (heldBack !== undefined) await response.write(heldBack);
+            response.end();
+        },
+        async fail(verdict) {
+            if (response.hasStarted) return response.abort();
+            await sendProblem(response, exchange.requestId, verdict);
+        },
+    };
+}
--- /dev/null
+++ b/src/entry/budgets/leaseBook.ts
@@ -0,0 +1,385 @@
+/**
+ * The entry's leases: reservations before dispatch, settlement after, and renewals at control.
+ * An entry spends only from a lease that control has granted and that has not expired.
+ */
+import type { ControlClient } from "../../kernel/controlClient.js";
+import { assert, checkDefined } from "../../kernel/debug.js";
+import type { Host } from "../../kernel/host.js";
+import type { LeaseGrant, LeaseRenewal } from "../../kernel/messages.js";
+import { createSignal, getErrorText, sleep } from "../../kernel/tasks.js";
+import type { Signal } from "../../kernel/tasks.js";
+import type { Incarnation } from "../../kernel/types.js";
+import { refuse } from "../../kernel/verdict.js";
+import { createDemandMeter } from "./demand.js";
+import type { DemandMeter } from "./demand.js";
+
+/** What an owner's preference means at the entry. */
+export interface BudgetPreference {
+    /** Demand that an entry likes to hold ahead, so that it can ride out a partition. */
+    readonly horizonMs: number;
+    /** How long a request may wait for tokens that are held elsewhere. */
+    readonly maxWaitMs: number;
+}
+
+/** Preferences by what the owner weighs more. */
+export const budgetPreferences: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>> = {
+    overspend: { horizonMs: 60_000, maxWaitMs: 2_000 },
+    falseRefusals: { horizonMs: 180_000, maxWaitMs: 5_000 },
+};
+
+/** Tokens set aside for one attempt. It ends by exactly one `settle`. */
+export interface Reservation {
+    readonly leaseId: string;
+    readonly expiresAtMs: number;
+    readonly reservedTokens: number;
+    /** Ends the reservation at what the agent's run is billed. */
+    settle(agent: Incarnation, billedTokens: number): void;
+}
+
+/** What a reservation is wanted for. */
+export interface ReservationRequest {
+    readonly budget: string;
+    readonly weighsMore: "overspend" | "falseRefusals";
+    readonly tokens: number;
+    readonly deadlineMs: number;
+}
+
+/** The entry's leases. */
+export interface LeaseBook {
+    /** Sets tokens aside. Refuses as not run when the budget cannot cover them. */
+    reserve(request: ReservationRequest): Promise<Reservation>;
+    /** Gives unreserved tokens of these budgets back at once. */
+    giveBack(budgets: readonly string[]): void;
+    /** Settles at control without waiting for more. */
+    forceRenewal(): void;
+    start(signal: AbortSignal): void;
+    /** Settles and closes every lease. Resolves false when control could not be reached. */
+    close(timeoutMs: number): Promise<boolean>;
+    getReservedTokens(): number;
+}
+
+/** Options of a lease book. */
+export interface LeaseBookOptions {
+    readonly vm: string;
+    readonly incarnation: Incarnation;
+    readonly control: ControlClient;
+    readonly preferences?: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>>;
+}
+
+interface HeldLease {
+    readonly budget: string;
+    readonly leaseId: string;
+    readonly demand: DemandMeter;
+    readonly changed: Signal;
+    preference: BudgetPreference;
+    grantedTokens: number;
+    settledTokens: number;
+    readonly settledByAgent: Record<Incarnation, number>;
+    releasedTokens: number;
+    reservedTokens: number;
+    expiresAtMs: number;
+    /** Start of each attempt that is not settled, in control time that is certainly past. */
+    readonly unsettledSinceMs: Map<number, number>;
+    /** Tokens that waiting requests need, by waiter. */
+    readonly waiting: Map<number, number>;
+    /** Control's last word on a starving request. */
+    lastOutcome: LeaseGrant["outcome"] | "unreachable";
+    isUnknown: boolean;
+    lastUsedMs: number;
+    /** Local time of the last answered renewal, and of the first change since. */
+    renewedAtMs: number;
+    changedAtMs: number | undefined;
+    /** Local time at which the lease is renewed even when nothing changed. */
+    renewAtMs: number;
+}
+
+const renewTimeoutMs = 1_500;
+const starvingRetryMs = 50;
+const tickMs = 250;
+const refillPauseMs = 1_000;
+/** A settlement waits for others, a short while after a quiet time and longer in a steady stream. */
+const settleDelayMs = { quiet: 1_000, steady: 5_000 } as const;
+/** A lease is renewed after this share of its length. */
+const renewShare = 0.25;
+const retryAfterMs = 2_000;
+const idleCloseMs = 60_000;
+/** Unreserved tokens beyond this multiple of the target go back. */
+const keepFactor = 2;
+
+/** Creates a book without leases. */
+export function createLeaseBook(host: Host, options: LeaseBookOptions): LeaseBook {
+    const { control } = options;
+    const log = host.createLogger("budgets");
+    const preferences = options.preferences ?? budgetPreferences;
+    const leases = new Map<string, HeldLease>();
+    // Leases that were replaced stay until what they reserved is settled.
+    const retired = new Set<HeldLease>();
+    const renewNow = createSignal(host.timers);
+    let sequence = 0;
+    let waiterCount = 0;
+    let lastControlTimeMs = 0;
+    let isRenewalForced = false;
+
+    return {
+        reserve,
+        giveBack(budgets) {
+            for (const budget of budgets) {
+                const lease = leases.get(budget);
+                if (lease !== undefined && lease.waiting.size === 0) release(lease, getAvailable(lease));
+            }
+            forceRenewal();
+        },
+        forceRenewal,
+        start(signal) {
+            void renewTask(signal);
+        },
+        close,
+        getReservedTokens: () => listAll().reduce((sum, lease) => sum + lease.reservedTokens, 0),
+    };
+
+    function listAll(): readonly HeldLease[] {
+        return [...leases.values(), ...retired];
+    }
+
+    function getAvailable(lease: HeldLease): number {
+        return lease.grantedTokens - lease.settledTokens - lease.releasedTokens - lease.reservedTokens;
+    }
+
+    function isUsable(lease: HeldLease): boolean {
+        return control.time.isBefore(lease.expiresAtMs);
+    }
+
+    function getLease(request: ReservationRequest): HeldLease {
+        const known = leases.get(request.budget);
+        if (known !== undefined) return known;
+        sequence++;
+        const created: HeldLease = {
+            budget: request.budget,
+            leaseId: `${options.incarnation}/${sequence}`,
+            demand: createDemandMeter(),
+            changed: createSignal(host.timers),
+            preference: preferences[request.weighsMore],
+            grantedTokens: 0,
+            settledTokens: 0,
+            settledByAgent: {},
+            releasedTokens: 0,
+            reservedTokens: 0,
+            expiresAtMs: 0,
+            unsettledSinceMs: new Map(),
+            waiting: new Map(),
+            lastOutcome: "unreachable",
+            isUnknown: false,
+            lastUsedMs: host.clock.nowMs(),
+            renewedAtMs: -Infinity,
+            changedAtMs: undefined,
+            renewAtMs: Infinity,
+        };
+        leases.set(request.budget, created);
+        return created;
+    }
+
+    async function reserve(request: ReservationRequest): Promise<Reservation> {
+        const first = getLease(request);
+        first.preference = preferences[request.weighsMore];
+        first.demand.noteRequest(request.tokens, host.clock.nowMs());
+        const waiter = ++waiterCount;
+        const giveUpAtMs = Math.min(request.deadlineMs, host.clock.nowMs() + first.preference.maxWaitMs);
+        let isFirstTry = true;
+        for (;;) {
+            // A lease that control closed is replaced, so each turn looks it up anew.
+            const lease = getLease(request);
+            if (isUsable(lease) && getAvailable(lease) >= request.tokens && (isFirstTry ? lease.waiting.size === 0 : true)) {
+                lease.waiting.delete(waiter);
+                return take(lease, request.tokens);
+            }
+            const isLast = host.clock.nowMs() >= giveUpAtMs;
+            if (isLast || isHopeless(lease, isFirstTry)) {
+                lease.waiting.delete(waiter);
+                refuseReservation(lease);
+            }
+            isFirstTry = false;
+            lease.waiting.set(waiter, request.tokens);
+            lease.lastOutcome = lease.lastOutcome === "exhausted" ? "recalling" : lease.lastOutcome;
+            renewNow.notify();
+            await lease.changed.wait(Math.max(1, giveUpAtMs - host.clock.nowMs()));
+            if (lease !== leases.get(request.budget)) lease.waiting.delete(waiter);
+        }
+    }
+
+    // A refusal as exhausted needs control's word, given after this request began to wait.
+    function isHopeless(lease: HeldLease, isFirstTry: boolean): boolean {
+        if (isFirstTry) return false;
+        return lease.lastOutcome === "exhausted" || lease.isUnknown;
+    }
+
+    function refuseReservation(lease: HeldLease): never {
+        if (lease.isUnknown) refuse("budgetExhausted", "The budget is not in the configuration in force.");
+        if (lease.lastOutcome === "exhausted") refuse("budgetExhausted");
+        if (lease.lastOutcome === "unreachable") refuse("budgetUnavailable", undefined, retryAfterMs);
+        refuse("budgetExhausted", "The rest of the prepaid budget is held by running requests.", retryAfterMs);
+    }
+
+    function take(lease: HeldLease, tokens: number): Reservation {
+        const id = ++waiterCount;
+        let isSettled = false;
+        lease.reservedTokens += tokens;
+        lease.lastUsedMs = host.clock.nowMs();
+        lease.unsettledSinceMs.set(id, lastControlTimeMs);
+        return {
+            leaseId: lease.leaseId,
+            expiresAtMs: lease.expiresAtMs,
+            reservedTokens: tokens,
+            settle(agent, billedTokens) {
+                assert(!isSettled, "a reservation is settled once");
+                assert(billedTokens <= tokens, `a settlement of ${billedTokens} exceeds its reservation of ${tokens}`);
+                isSettled = true;
+                lease.reservedTokens -= tokens;
+                lease.settledTokens += billedTokens;
+                if (billedTokens > 0) lease.settledByAgent[agent] = (lease.settledByAgent[agent] ?? 0) + billedTokens;
+                lease.unsettledSinceMs.delete(id);
+                if (billedTokens > 0) noteChange(lease);
+                lease.demand.noteUse(billedTokens, host.clock.nowMs());
+                lease.changed.notify();
+                if (lease.waiting.size > 0) renewNow.notify();
+            },
+        };
+    }
+
+    function release(lease: HeldLease, tokens: number): void {
+        if (tokens <= 0) return;
+        lease.releasedTokens += tokens;
+        noteChange(lease);
+    }
+
+    function noteChange(lease: HeldLease): void {
+        lease.changedAtMs ??= host.clock.nowMs();
+    }
+
+    function forceRenewal(): void {
+        isRenewalForced = true;
+        renewNow.notify();
+    }
+
+    async function renewTask(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const nowMs = host.clock.nowMs();
+            const isStarving = listAll().some(lease => lease.waiting.size > 0);
+            if (isStarving || isRenewalForced || listAll().some(lease => isDue(lease, nowMs))) {
+                isRenewalForced = false;
+                await renewDue().catch(error => log.warn("A renewal failed.", { detail: getErrorText(error) }));
+            }
+            if (isStarving) await sleep(host.timers, starvingRetryMs, signal);
+            else if (!isRenewalForced) await renewNow.wait(tickMs);
+        }
+    }
+
+    function isDue(lease: HeldLease, nowMs: number): boolean {
+        if (nowMs >= lease.renewAtMs || shouldClose(lease, nowMs)) return true;
+        const settleAtMs = Math.max(lease.renewedAtMs + settleDelayMs.steady, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
+        if (lease.changedAtMs !== undefined && nowMs >= settleAtMs) return true;
+        return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + refillPauseMs;
+    }
+
+    function isLow(lease: HeldLease, nowMs: number): boolean {
+        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        return !retired.has(lease) && getAvailable(lease) < targetTokens / 2;
+    }
+
+    function shouldClose(lease: HeldLease, nowMs: number): boolean {
+        const isIdle = nowMs - lease.lastUsedMs > idleCloseMs && lease.waiting.size === 0;
+        return lease.reservedTokens === 0 && (isIdle || retired.has(lease));
+    }
+
+    // One call carries every lease that has something to say.
+    async function renewDue(): Promise<void> {
+        const nowMs = host.clock.nowMs();
+        for (const lease of leases.values()) giveBackExcess(lease, nowMs);
+        const due = listAll().filter(lease => lease.waiting.size > 0 || lease.changedAtMs !== undefined || isDue(lease, nowMs));
+        if (due.length === 0) return;
+        const renewals = due.map(lease => createRenewal(lease, nowMs));
+        const { vm, incarnation } = options;
+        const outcome = await control.submit("leases.renew", { vm, incarnation, leases: renewals }, { timeoutMs: renewTimeoutMs });
+        if (outcome.kind !== "done") {
+            for (const lease of due) learnUnreachable(lease);
+            return;
+        }
+        lastControlTimeMs = Math.max(lastControlTimeMs, ...outcome.result.grants.map(grant => grant.controlTimeMs));
+        for (const [position, lease] of due.entries()) {
+            learnGrant(lease, checkDefined(outcome.result.grants[position], "control answers for every lease"), renewals[position]!);
+        }
+    }
+
+    function giveBackExcess(lease: HeldLease, nowMs: number): void {
+        if (lease.waiting.size > 0) return;
+        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        const excessTokens = getAvailable(lease) - keepFactor * targetTokens;
+        release(lease, Math.floor(excessTokens));
+    }
+
+    function createRenewal(lease: HeldLease, nowMs: number): LeaseRenewal {
+        const isRetired = retired.has(lease);
+        const isClosing = shouldClose(lease, nowMs);
+        lease.changedAtMs = undefined;
+        const neededTokens = lease.waiting.size > 0 ? Math.min(...lease.waiting.values()) : 0;
+        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        if (isClosing && leases.get(lease.budget) === lease) {
+            // No reservation may be taken from a lease whose close is on its way.
+            leases.delete(lease.budget);
+            retired.add(lease);
+        }
+        return {
+            leaseId: lease.leaseId,
+            budget: lease.budget,
+            settledTokens: { ...lease.settledByAgent },
+            settledBeforeMs: Math.min(lastControlTimeMs, ...lease.unsettledSinceMs.values()),
+            releasedTokens: lease.releasedTokens,
+            wantTokens: isClosing || isRetired ? 0 : Math.max(0, Math.ceil(targetTokens - getAvailable(lease))),
+            starvingTokens: isClosing || isRetired ? 0 : Math.max(0, neededTokens - Math.max(0, getAvailable(lease))),
+            isClosing,
+        };
+    }
+
+    function learnUnreachable(lease: HeldLease): void {
+        lease.lastOutcome = "unreachable";
+        noteChange(lease);
+        lease.changed.notify();
+    }
+
+    function learnGrant(lease: HeldLease, grant: LeaseGrant, renewal: LeaseRenewal): void {
+        if (renewal.isClosing) retired.delete(lease);
+        else if (grant.outcome === "closed") retire(lease);
+        else if (grant.outcome === "unknownBudget") lease.isUnknown = true;
+        else {
+            lease.grantedTokens = Math.max(lease.grantedTokens, grant.grantedTokens);
+            lease.expiresAtMs = Math.max(lease.expiresAtMs, grant.expiresAtMs);
+            lease.renewedAtMs = host.clock.nowMs();
+            lease.renewAtMs = lease.renewedAtMs + (grant.expiresAtMs - grant.controlTimeMs) * renewShare;
+            if (grant.recallTokens > 0 && lease.waiting.size === 0) {
+                release(lease, Math.min(getAvailable(lease), grant.recallTokens));
+                forceRenewal();
+            }
+        }
+        lease.lastOutcome = grant.outcome;
+        lease.changed.notify();
+        if (grant.outcome === "unknownBudget" && lease.reservedTokens === 0 && lease.grantedTokens === 0) leases.delete(lease.budget);
+    }
+
+    // Control has taken the lease back. What is reserved is still settled, but nothing more starts under it.
+    function retire(lease: HeldLease): void {
+        if (leases.get(lease.budget) === lease) leases.delete(lease.budget);
+        if (lease.reservedTokens > 0 || lease.settledTokens > 0) retired.add(lease);
+    }
+
+    async function close(timeoutMs: number): Promise<boolean> {
+        const deadlineMs = host.clock.nowMs() + timeoutMs;
+        for (const [budget, lease] of leases) {
+            leases.delete(budget);
+            retired.add(lease);
+        }
+        while (retired.size > 0 && host.clock.nowMs() < deadlineMs) {
+            await renewDue().catch(() => undefined);
+            if (retired.size > 0) await sleep(host.timers, starvingRetryMs);
+        }
+        return retired.size === 0;
+    }
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,208 @@
+/** The entry: callers' HTTP in, answers out, and everything between that the stages do. */
+import { createEntryRouter } from "../kernel/contracts.js";
+import type { AgentRouter, EntryApi } from "../kernel/contracts.js";
+import type { ControlClient } from "../kernel/controlClient.js";
+import type { Host, HttpRequest, HttpResponse } from "../kernel/host.js";
+import { createRpcClients } from "../kernel/rpc.js";
+import { getErrorText, sleep } from "../kernel/tasks.js";
+import type { ProcessIdentity } from "../kernel/types.js";
+import { toVerdict, VerdictError } from "../kernel/verdict.js";
+import { sendProblem } from "./answers.js";
+import { createLeaseBook } from "./budgets/leaseBook.js";
+import type { BudgetPreference, LeaseBook } from "./budgets/leaseBook.js";
+import { createNodeConfiguration } from "./configurationView.js";
+import { createDeliveryStage } from "./delivery/stage.js";
+import type { BackgroundTasks, DeliveryHost } from "./delivery/types.js";
+import { createFairQueue } from "./fairQueue.js";
+import { createAccountLimits } from "./rateLimit.js";
+import { createRetryBudget } from "./retryBudget.js";
+import { createRouter } from "./routing/router.js";
+import type { Router } from "./routing/router.js";
+import type { RoutingPolicy } from "./routing/types.js";
+import { createAuthenticateStage } from "./stages/authenticate.js";
+import { createLimitsStage, createQueueStage } from "./stages/limits.js";
+import { createQuarantineStage } from "./stages/quarantine.js";
+import { createReadWorkStage } from "./stages/readWork.js";
+import { createEntryStatistics } from "./statistics.js";
+import type { EntryStatistics } from "./statistics.js";
+import { createPipeline } from "./types.js";
+import type { Exchange } from "./types.js";
+
+/** Options of an entry. */
+export interface EntryOptions {
+    readonly identity: ProcessIdentity;
+    readonly control: ControlClient;
+    readonly routingPolicy?: RoutingPolicy;
+    readonly budgetPreferences?: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>>;
+    /** In place of the lease book, for baselines in measurements. */
+    readonly createLeases?: (host: Host) => LeaseBook;
+}
+
+/** A running entry. */
+export interface Entry {
+    readonly router: ReturnType<typeof createEntryRouter>;
+    readonly routing: Router;
+    readonly statistics: EntryStatistics;
+    handle(request: HttpRequest, response: HttpResponse): Promise<void>;
+    start(): void;
+    isReady(): boolean;
+    getVersion(): number;
+    /** Fails readiness, finishes what runs, settles and closes its leases. */
+    stop(): Promise<void>;
+    /** Ends at once, as a crash does. */
+    halt(): void;
+}
+
+const maxWaiting = 10_000;
+const maxWaitingPerAccount = 2_000;
+const announceTimeoutMs = 3_000;
+const announceRetryMs = 500;
+const drainPollMs = 50;
+const closeTimeoutMs = 10_000;
+const fleetPollMs = 10_000;
+
+/** Creates an entry. It is not ready until control has confirmed a configuration. */
+export function createEntry(host: Host, options: EntryOptions): Entry {
+    const { identity, control } = options;
+    const log = host.createLogger("entry");
+    const stopping = new AbortController();
+    const statistics = createEntryStatistics();
+    const routing = createRouter(host, { policy: options.routingPolicy });
+    const leases = options.createLeases?.(host) ?? createLeaseBook(host, {
+        vm: identity.vm,
+        incarnation: identity.incarnation,
+        control,
+        preferences: options.budgetPreferences,
+    });
+    const configuration = createNodeConfiguration(host, { identity, control, onRecall: leases.giveBack });
+    const queue = createFairQueue(host, { hasRoom: routing.hasRoom, maxWaiting, maxWaitingPerAccount });
+    const background = createBackgroundTasks(error => log.warn("A background task failed.", { detail: getErrorText(error) }));
+    let entryCount = 1;
+    let isAnnounced = false;
+    let isStopping = false;
+    let openExchanges = 0;
+    const delivery: DeliveryHost = {
+        host,
+        control,
+        configuration,
+        router: routing,
+        leases,
+        retries: createRetryBudget(),
+        agents: createRpcClients<AgentRouter>(host.network),
+        failureDomain: identity.failureDomain,
+        statistics,
+        background,
+    };
+    const runPipeline = createPipeline([
+        createAuthenticateStage(configuration),
+        createReadWorkStage(host.clock, configuration),
+        createQuarantineStage(configuration, control.time),
+        createLimitsStage(host.clock, createAccountLimits(() => entryCount)),
+        createQueueStage(queue),
+        createDeliveryStage(delivery),
+    ]);
+    const api: EntryApi = {
+        async report(report) {
+            routing.learn(report, host.clock.nowMs());
+            queue.notify();
+        },
+    };
+
+    return {
+        router: createEntryRouter(api),
+        routing,
+        statistics,
+        handle,
+        start() {
+            void announce();
+            configuration.start(stopping.signal);
+            leases.start(stopping.signal);
+        },
+        isReady: () => isAnnounced && configuration.isReady() && !isStopping,
+        getVersion: () => configuration.version,
+        async stop() {
+            isStopping = true;
+            while (openExchanges > 0) await sleep(host.timers, drainPollMs);
+            const isClosed = await leases.close(closeTimeoutMs);
+            await control.submit("fleet.leave", { incarnation: identity.incarnation, uses: [] }, { timeoutMs: announceTimeoutMs });
+            stopping.abort();
+            log.info("This entry has finished its work and stops.", { isClosed });
+        },
+        halt() {
+            isStopping = true;
+            stopping.abort();
+        },
+    };
+
+    async function announce(): Promise<void> {
+        const { vm, failureDomain, incarnation, address } = identity;
+        while (!isAnnounced && !stopping.signal.aborted) {
+            const entry = { vm, failureDomain, incarnation, address };
+            const outcome = await control.submit("fleet.announceEntry", { entry }, { timeoutMs: announceTimeoutMs });
+            isAnnounced = outcome.kind === "done";
+            if (!isAnnounced) await sleep(host.timers, announceRetryMs, stopping.signal);
+        }
+        while (!stopping.signal.aborted) {
+            const fleet = await control.query("fleet.list", {}, { timeoutMs: announceTimeoutMs });
+            if (fleet.kind === "done") entryCount = Math.max(1, fleet.result.entries.length);
+            await sleep(host.timers, fleetPollMs, stopping.signal);
+        }
+    }
+
+    async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
+        const exchange: Exchange = {
+            requestId: host.random.nextId(),
+            request,
+            response,
+            arrivedAtMs: host.clock.nowMs(),
+            deadlineMs: Infinity,
+            isSolo: false,
+            hasDispatched: false,
+        };
+        openExchanges++;
+        statistics.noteRequest();
+        try {
+            if (request.path === "/v1/models" && request.method === "GET") await listModels(exchange);
+            else await runPipeline(exchange);
+            if (exchange.work !== undefined) statistics.noteAnswered(exchange.work.serviceClass, host.clock.nowMs() - exchange.arrivedAtMs);
+        }
+        catch (error) {
+            const verdict = toVerdict(error, exchange.hasDispatched ? "mayHaveRun" : "notRun");
+            if (!(error instanceof VerdictError)) {
+                log.error("A request failed.", { requestId: exchange.requestId, detail: getErrorText(error) });
+            }
+            statistics.noteRefusal(verdict.code);
+            await sendProblem(response, exchange.requestId, verdict);
+        }
+        finally {
+            openExchanges--;
+        }
+    }
+
+    async function listModels(exchange: Exchange): Promise<void> {
+        await createPipeline([createAuthenticateStage(configuration), { name: "models", run: sendModels }])(exchange);
+    }
+
+    async function sendModels(exchange: Exchange): Promise<void> {
+        const models = configuration.getObjects().list("route").flatMap(route => route.model === undefined ? [] : [route.model]);
+        const data = models.map(id => ({ id, object: "model", created: 0, owned_by: "lovagefold" }));
+        exchange.response.start(200, {
+            "content-type": "application/json",
+            "lovage-request-id": exchange.requestId,
+            "lovage-verdict": "ran",
+        });
+        await exchange.response.write(Buffer.from(JSON.stringify({ object: "list", data })));
+        exchange.response.end();
+    }
+}
+
+function createBackgroundTasks(onError: (error: unknown) => void): BackgroundTasks {
+    let count = 0;
+    return {
+        run(work) {
+            count++;
+            work().catch(onError).finally(() => count--);
+        },
+        getCount: () => count,
+    };
+}
--- /dev/null
+++ b/src/entry/rateLimit.ts
@@ -0,0 +1,62 @@
+/** Rate and concurrency limits of one client account at one entry. */
+import type { PolicyObject } from "../kernel/objects.js";
+
+/** Decision of a limit. */
+export type LimitDecision =
+    | { readonly kind: "admitted"; }
+    | { readonly kind: "rateLimited"; readonly retryAfterMs: number; }
+    | { readonly kind: "concurrencyLimited"; };
+
+/** Limits of all client accounts. */
+export interface AccountLimits {
+    /** Counts a request in when it is admitted. */
+    tryEnter(clientAccount: string, policy: PolicyObject, nowMs: number): LimitDecision;
+    leave(clientAccount: string): void;
+}
+
+interface AccountState {
+    tokens: number;
+    refilledAtMs: number;
+    runningRequests: number;
+}
+
+const secondMs = 1_000;
+const maxIdleAccounts = 20_000;
+
+/** Creates limits. Each entry enforces its share: the account's limit divided by the number of entries. */
+export function createAccountLimits(getEntryCount: () => number): AccountLimits {
+    const accounts = new Map<string, AccountState>();
+    return {
+        tryEnter(clientAccount, policy, nowMs) {
+            const state = getState(clientAccount, policy, nowMs);
+            refill(state, policy, nowMs);
+            if (state.runningRequests >= Math.ceil(policy.maxConcurrentRequests / getEntryCount())) return { kind: "concurrencyLimited" };
+            if (state.tokens < 1) {
+                return { kind: "rateLimited", retryAfterMs: (1 - state.tokens) * secondMs / (policy.requestsPerSecond / getEntryCount()) };
+            }
+            state.tokens -= 1;
+            state.runningRequests += 1;
+            return { kind: "admitted" };
+        },
+        leave(clientAccount) {
+            const state = accounts.get(clientAccount);
+            if (state === undefined) return;
+            state.runningRequests -= 1;
+            if (state.runningRequests === 0 && accounts.size > maxIdleAccounts) accounts.delete(clientAccount);
+        },
+    };
+
+    function getState(clientAccount: string, policy: PolicyObject, nowMs: number): AccountState {
+        const known = accounts.get(clientAccount);
+        if (known !== undefined) return known;
+        const created: AccountState = { tokens: policy.burstRequests, refilledAtMs: nowMs, runningRequests: 0 };
+        accounts.set(clientAccount, created);
+        return created;
+    }
+
+    function refill(state: AccountState, policy: PolicyObject, nowMs: number): void {
+        const added = (nowMs - state.refilledAtMs) * policy.requestsPerSecond / getEntryCount() / secondMs;
+        state.tokens = Math.min(policy.burstRequests, state.tokens + added);
+        state.refilledAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/src/entry/stages/authenticate.ts
@@ -0,0 +1,23 @@
+/** First stage: who calls. */
+import { refuse } from "../../kernel/verdict.js";
+import type { NodeConfiguration } from "../configurationView.js";
+import type { Stage } from "../types.js";
+
+const bearerPattern = /^Bearer\s+(\S+)$/i;
+const startingRetryMs = 1_000;
+
+/** Creates the stage that finds the client account of the request's key. */
+export function createAuthenticateStage(configuration: NodeConfiguration): Stage {
+    return {
+        name: "authenticate",
+        async run(exchange, next) {
+            if (!configuration.isReady()) refuse("notReady", undefined, startingRetryMs);
+            const key = bearerPattern.exec(exchange.request.headers["authorization"] ?? "")?.[1];
+            const account = key === undefined ? undefined : configuration.findAccount(key);
+            if (account === undefined) refuse("unauthenticated");
+            exchange.clientAccount = account;
+            exchange.policy = configuration.getObjects().get("policy", account.policy);
+            await next();
+        },
+    };
+}
--- /dev/null
+++ b/src/entry/stages/limits.ts
@@ -0,0 +1,62 @@
+/** Third and fourth stages: the client account's limits, then the fair waiting line. */
+import { assertNever, checkDefined } from "../../kernel/debug.js";
+import type { Clock } from "../../kernel/host.js";
+import { refuse } from "../../kernel/verdict.js";
+import type { FairQueue } from "../fairQueue.js";
+import type { AccountLimits } from "../rateLimit.js";
+import type { Stage } from "../types.js";
+
+const concurrencyRetryMs = 1_000;
+
+/** Creates the stage that holds a client account to its rate and concurrency. */
+export function createLimitsStage(clock: Clock, limits: AccountLimits): Stage {
+    return {
+        name: "limits",
+        async run(exchange, next) {
+            const account = checkDefined(exchange.clientAccount, "the request is authenticated");
+            const policy = checkDefined(exchange.policy, "the account has a policy");
+            const decision = limits.tryEnter(account.name, policy, clock.nowMs());
+            switch (decision.kind) {
+                case "rateLimited":
+                    return refuse("accountRateLimited", undefined, decision.retryAfterMs);
+                case "concurrencyLimited":
+                    return refuse("accountConcurrencyLimited", undefined, concurrencyRetryMs);
+                case "admitted":
+                    break;
+                default:
+                    assertNever(decision);
+            }
+            try {
+                await next();
+            }
+            finally {
+                limits.leave(account.name);
+            }
+        },
+    };
+}
+
+/** Creates the stage that waits for the request's turn. */
+export function createQueueStage(queue: FairQueue): Stage {
+    return {
+        name: "queue",
+        async run(exchange, next) {
+            const work = checkDefined(exchange.work, "the request is read");
+            await queue.enter({
+                pool: work.pool,
+                clientAccount: checkDefined(exchange.clientAccount, "the request is authenticated").name,
+                weight: checkDefined(exchange.policy, "the account has a policy").weight,
+                serviceClass: work.serviceClass,
+                costTokens: work.promptTokensBound + work.maxCompletionTokens + 1,
+                deadlineMs: exchange.deadlineMs,
+                signal: exchange.request.signal,
+            });
+            try {
+                await next();
+            }
+            finally {
+                queue.notify();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/entry/stages/readWork.ts
@@ -0,0 +1,170 @@
+/** Second stage: what the request asks for, by its path, headers and body. */
+import { z } from "zod";
+import { checkDefined } from "../../kernel/debug.js";
+import { getSha256 } from "../../kernel/digest.js";
+import type { Clock } from "../../kernel/host.js";
+import type { RouteObject } from "../../kernel/objects.js";
+import { getPrefixHashes } from "../../kernel/prefix.js";
+import { refuse } from "../../kernel/verdict.js";
+import type { NodeConfiguration } from "../configurationView.js";
+import type { Exchange, Stage, Work } from "../types.js";
+
+const contentSchema = z.union([z.string(), z.array(z.looseObject({ type: z.string(), text: z.string().optional() }))]);
+const chatSchema = z.looseObject({
+    model: z.string(),
+    messages: z.array(z.looseObject({ role: z.string(), content: contentSchema.nullish() })).min(1),
+    stream: z.boolean().nullish(),
+    n: z.literal(1, "only one answer per request is served").nullish(),
+    max_tokens: z.number().int().positive().nullish(),
+    max_completion_tokens: z.number().int().positive().nullish(),
+});
+type Chat = z.infer<typeof chatSchema>;
+
+/** Tokens that a chat template may add to each message and to the whole. */
+const templateTokens = { perMessage: 8, perPrompt: 8 } as const;
+const maxKeyChars = 200;
+const maxTimeoutMs = 3_600_000;
+const servicePattern = /^\/services\/([^/?]+)(\/[^]*)?$/;
+
+/** Creates the stage that reads the request. */
+export function createReadWorkStage(clock: Clock, configuration: NodeConfiguration): Stage {
+    return {
+        name: "readWork",
+        async run(exchange, next) {
+            exchange.work = readWork(exchange, configuration);
+            exchange.deadlineMs = clock.nowMs() + getTimeoutMs(exchange, exchange.work.route);
+            await next();
+        },
+    };
+}
+
+function readWork(exchange: Exchange, configuration: NodeConfiguration): Work {
+    const { path, method } = exchange.request;
+    const pathname = path.split("?", 1)[0];
+    const service = servicePattern.exec(path);
+    if (service) return readServiceWork(exchange, service[1]!, service[2] ?? "/", configuration);
+    if (pathname !== "/v1/chat/completions") refuse("unknownPath");
+    if (method !== "POST") refuse("methodNotAllowed");
+    return readChatWork(exchange, configuration);
+}
+
+function readChatWork(exchange: Exchange, configuration: NodeConfiguration): Work {
+    const chat = parseChat(exchange.request.body);
+    const route = configuration.findModelRoute(chat.model);
+    if (route === undefined) refuse("unknownModel", `No route serves the model ${JSON.stringify(chat.model)}.`);
+    const prompt = chat.messages.map(message => getText(message.content)).join("\n");
+    const asked = chat.max_completion_tokens ?? chat.max_tokens ?? route.maxCompletionTokens;
+    return {
+        ...createCommon(exchange, route),
+        path: "/v1/chat/completions",
+        format: chat.stream === true ? "eventStream" : "completion",
+        model: chat.model,
+        promptTokensBound: getPromptTokensBound(chat, prompt, exchange.request.body.length),
+        maxCompletionTokens: asked,
+        prefixHashes: getPrefixHashes(prompt),
+        contentType: "application/json",
+    };
+}
+
+function readServiceWork(exchange: Exchange, service: string, path: string, configuration: NodeConfiguration): Work {
+    const route = configuration.findServiceRoute(service);
+    if (route === undefined) refuse("unknownPath", `No route serves ${JSON.stringify(service)}.`);
+    return {
+        ...createCommon(exchange, route),
+        ...getIdempotence(exchange, route, path),
+        path,
+        format: "raw",
+        promptTokensBound: 0,
+        maxCompletionTokens: 0,
+        prefixHashes: [],
+        contentType: exchange.request.headers["content-type"] ?? "application/octet-stream",
+    };
+}
+
+function createCommon(exchange: Exchange, route: RouteObject) {
+    const account = checkDefined(exchange.clientAccount, "the request is authenticated");
+    const { method, path, body } = exchange.request;
+    const bodyDigest = getSha256(Buffer.concat([Buffer.from(`${method} ${path}\n`), body]));
+    return {
+        route,
+        pool: route.pool,
+        serviceClass: route.serviceClass,
+        ...getIdempotence(exchange, route, path),
+        idempotencyKey: getIdempotencyKey(exchange),
+        bodyDigest,
+        fingerprint: getSha256(`${account.name}\n${bodyDigest}`),
+    };
+}
+
+function getIdempotence(exchange: Exchange, route: RouteObject, path: string): { readonly isIdempotent: boolean; } {
+    const header = exchange.request.headers["lovage-idempotent"]?.toLowerCase();
+    if (header !== undefined && header !== "true" && header !== "false") refuse("badRequest", "Lovage-Idempotent must be true or false.");
+    // A header may mark a request as non-idempotent, but may not lift the mark of a route.
+    const isMarked = route.nonIdempotent.some(rule => rule.method === exchange.request.method && path.startsWith(rule.pathPrefix));
+    return { isIdempotent: header !== "false" && !isMarked };
+}
+
+function getIdempotencyKey(exchange: Exchange): string | undefined {
+    const key = exchange.request.headers["idempotency-key"];
+    if (key === undefined) return undefined;
+    if (key.length === 0 || key.length > maxKeyChars) refuse("badRequest", `Idempotency-Key must have 1 to ${maxKeyChars} characters.`);
+    return key;
+}
+
+function getTimeoutMs(exchange: Exchange, route: RouteObject): number {
+    const asked = exchange.request.headers["lovage-timeout-ms"];
+    if (asked === undefined) return route.timeoutMs;
+    const timeoutMs = Number(asked);
+    if (!(timeoutMs >= 1 && timeoutMs <= maxTimeoutMs)) refuse("badRequest", "Lovage-Timeout-Ms must be a number of milliseconds.");
+    return Math.min(timeoutMs, route.timeoutMs);
+}
+
+function parseChat(body: Uint8Array): Chat {
+    let value: unknown;
+    try {
+        value = JSON.parse(Buffer.from(body).toString("utf8"));
+    }
+    catch {
+        refuse("badRequest", "The body is not JSON.");
+    }
+    const parsed = chatSchema.safeParse(value);
+    if (parsed.success) return parsed.data;
+    const issue = checkDefined(parsed.error.issues[0], "a failed check names an issue");
+    refuse("badRequest", `${issue.path.join(".") || "body"}: ${issue.message}`);
+}
+
+function getText(content: Chat["messages"][number]["content"]): string {
+    if (content === undefined || !content) return "";
+    return typeof content === "string" ? content : content.map(part => part.text ?? "").join("");
+}
+
+// No token is shorter than a byte, so the bytes of the text bound its tokens. Where a field may add to the
+// prompt in a way that is not known here, the bytes of the whole body stand for it.
+function getPromptTokensBound(chat: Chat, prompt: string, bodyBytes: number): number {
+    const isPlain = Object.keys(chat).every(field => plainFields.has(field)) && chat.messages.every(isPlainMessage);
+    const textBytes = isPlain ? Buffer.byteLength(prompt) : bodyBytes;
+    return textBytes + chat.messages.length * templateTokens.perMessage + templateTokens.perPrompt;
+}
+
+function isPlainMessage(message: Chat["messages"][number]): boolean {
+    const isText = message.content === undefined || !Array.isArray(message.content) || message.content.every(part => part.type === "text");
+    return isText && Object.keys(message).every(field => field === "role" || field === "content");
+}
+
+/** Fields that add nothing to the prompt beside the messages. */
+const plainFields: ReadonlySet<string> = new Set([
+    "model",
+    "messages",
+    "stream",
+    "stream_options",
+    "max_tokens",
+    "max_completion_tokens",
+    "n",
+    "temperature",
+    "top_p",
+    "seed",
+    "stop",
+    "user",
+    "presence_penalty",
+    "frequency_penalty",
+]);
--- /dev/null
+++ b/src/entry/statistics.ts
@@ -0,0 +1,49 @@
+/** Counts and latencies of one entry, in HDR histograms. */
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import type { MessageCode } from "../kernel/diagnostics.js";
+import type { ServiceClass } from "../kernel/types.js";
+
+/** Counts and latencies of one entry. */
+export interface EntryStatistics {
+    noteRequest(): void;
+    noteDispatch(): void;
+    noteRetry(): void;
+    noteRefusal(code: MessageCode): void;
+    noteAnswered(serviceClass: ServiceClass, durationMs: number): void;
+    read(): EntryCounts;
+}
+
+/** Counts and latencies at one moment. */
+export interface EntryCounts {
+    readonly requests: number;
+    readonly dispatches: number;
+    readonly retries: number;
+    readonly refusals: Readonly<Record<string, number>>;
+    readonly answered: Readonly<Record<ServiceClass, Histogram>>;
+}
+
+const microsecondsPerMs = 1_000;
+
+/** Creates empty statistics. Latencies are recorded in microseconds. */
+export function createEntryStatistics(): EntryStatistics {
+    const refusals: Record<string, number> = {};
+    const answered = { interactive: createHistogram(), batch: createHistogram() };
+    let requests = 0;
+    let dispatches = 0;
+    let retries = 0;
+    return {
+        noteRequest: () => void requests++,
+        noteDispatch: () => void dispatches++,
+        noteRetry: () => void retries++,
+        noteRefusal(code) {
+            refusals[code] = (refusals[code] ?? 0) + 1;
+        },
+        noteAnswered: (serviceClass, durationMs) => answered[serviceClass].recordValue(Math.round(durationMs * microsecondsPerMs)),
+        read: () => ({ requests, dispatches, retries, refusals, answered }),
+    };
+}
+
+function createHistogram(): Histogram {
+    return build({ numberOfSignificantValueDigits: 2, lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000_000, bitBucketSize: 32 });
+}
--- /dev/null
+++ b/src/programs/lovage-dev.ts
@@ -0,0 +1,191 @@
+/** `lovage-dev`: all roles in one process on loopback, before stand-in backend servers, for a first run. */
+import { Builtins, Cli, Command, Option } from "clipanion";
+import { mkdtemp, readFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import type { Control } from "../control/control.js";
+import type { Host, Listener } from "../kernel/host.js";
+import { createNodeHost } from "../kernel/hostNode.js";
+import { createLoggerFactory } from "../kernel/log.js";
+import { getErrorText, sleep } from "../kernel/tasks.js";
+import { createModelEngine } from "../standins/modelEngine.js";
+import { createPlainService } from "../standins/plainService.js";
+import { initializeControl, startAgent, startControl, startEntry } from "../wiring.js";
+import type { RunningProcess } from "../wiring.js";
+import { exitCodes, waitForStopSignal } from "./processCommand.js";
+import { readAddress, readLogLevel, SettingError } from "./settings.js";
+
+const operatorToken = "dev-operator";
+const fleetSecret = "dev-fleet";
+const failureDomains = ["pnw-a", "pnw-b", "pnw-c"] as const;
+const engineCount = 4;
+const serviceCount = 2;
+const maxBodyBytes = 8 * 1024 * 1024;
+const startTimeoutMs = 20_000;
+const pollMs = 50;
+
+class DevCommand extends Command {
+    static override paths = [Command.Default];
+    static override usage = Command.Usage({
+        description: "Run the whole system on loopback with stand-in backend servers.",
+        examples: [["Run it", "npm start"]],
+    });
+
+    entry1 = Option.String("--entry-1", "127.0.0.1:8080", { env: "LOVAGE_ENTRY_1", description: "First entry's address." });
+    entry2 = Option.String("--entry-2", "127.0.0.1:8081", { env: "LOVAGE_ENTRY_2", description: "Second entry's address." });
+    administration = Option.String("--administration", "127.0.0.1:8090", {
+        env: "LOVAGE_ADMINISTRATION",
+        description: "Address of the administration API.",
+    });
+    data = Option.String("--data", { env: "LOVAGE_DATA", description: "Data folder. Default: a new temporary one." });
+    set = Option.String("--set", { env: "LOVAGE_SET", description: "Configuration set. Default: Cascade's example." });
+    logLevel = Option.String("--log-level", "warn", { env: "LOVAGE_LOG_LEVEL", description: "debug, info, warn or error." });
+
+    override async execute(): Promise<number> {
+        try {
+            const level = readLogLevel(this.logLevel);
+            const host = createNodeHost({ fleetSecret, createLogger: createLoggerFactory({ level, isJson: false, vm: "dev" }) });
+            const processes = await this.startAll(host);
+            this.context.stdout.write(this.describe());
+            await waitForStopSignal();
+            process.once("SIGTERM", () => process.exit(exitCodes.failed));
+            process.once("SIGINT", () => process.exit(exitCodes.failed));
+            for (const running of processes) await running.stop();
+            process.exit(exitCodes.ok);
+        }
+        catch (error) {
+            this.context.stderr.write(`lovage-dev: ${getErrorText(error)}\n`);
+            process.exit(error instanceof SettingError ? exitCodes.badSettings : exitCodes.failed);
+        }
+    }
+
+    private describe(): string {
+        const body =
+            "{\"model\":\"lovage-pool\",\"messages\":[{\"role\":\"user\",\"content\":\"Word a tab for exhibits.\"}],\"max_tokens\":32}";
+        return `ready entries=${this.entry1},${this.entry2} administration=${this.administration}\n`
+            + `curl -s http://${this.entry1}/v1/chat/completions -H 'Authorization: Bearer dev-key-1' -H 'Content-Type: application/json' -d '${body}'\n`;
+    }
+
+    // Agents stop before control, and entries before agents, so that nothing in flight is cut off.
+    private async startAll(host: Host): Promise<readonly { stop(): Promise<void>; }[]> {
+        const control = await this.startControl(host);
+        const controlAddresses = [control.listeners[0]!.address];
+        await this.applyExample(host, control);
+        const agents = await this.startAgents(host, controlAddresses);
+        const entries = await Promise.all([this.entry1, this.entry2].map(async (listen, position) =>
+            startEntry(host, {
+                vm: `dev-entry-${position + 1}`,
+                failureDomain: failureDomains[position]!,
+                listen: readAddress({ flag: `--entry-${position + 1}`, variable: `LOVAGE_ENTRY_${position + 1}`, value: listen }),
+                fleetListen: await findFreeAddress(host),
+                controlAddresses,
+            })
+        ));
+        await waitFor(host, () => entries.every(entry => entry.part.isReady()), "the entries");
+        await waitFor(host, () => agents.every(agent => agent.part.isReady()), "the agents");
+        await waitFor(host, () => entries.every(entry => hasCandidates(entry.part.routing, host.clock.nowMs())), "the load reports");
+        return [...entries, ...agents, control];
+    }
+
+    private async startControl(host: Host): Promise<RunningProcess<Control>> {
+        const dataFolder = this.data ?? await mkdtemp(join(tmpdir(), "lovage-dev-"));
+        const listen = await findFreeAddress(host);
+        const self = { voterId: "dev-1", address: listen, failureDomain: failureDomains[0] };
+        const settings = { groupId: "dev", voterId: "dev-1", dataFolder };
+        await initializeControl(host, settings, [self]).catch(error => {
+            // A folder of an earlier run is used again.
+            if (!getErrorText(error).includes("already holds")) throw error;
+        });
+        const control = await startControl(host, {
+            ...settings,
+            vm: "dev-control",
+            failureDomain: failureDomains[0],
+            listen,
+            controlAddresses: [listen],
+            operatorToken,
+            administrationListen: readAddress({ flag: "--administration", variable: "LOVAGE_ADMINISTRATION", value: this.administration }),
+        });
+        await waitFor(host, () => control.part.replica.getStatus().role === "leader", "control");
+        return control;
+    }
+
+    private async applyExample(host: Host, control: RunningProcess<Control>): Promise<void> {
+        const file = this.set ?? fileURLToPath(new URL("../../../examples/cascade.json", import.meta.url));
+        const { objects } = JSON.parse(await readFile(file, "utf8")) as { objects: unknown[]; };
+        const { version } = control.part.state.getConfiguration();
+        const options = { timeoutMs: startTimeoutMs };
+        if (version === 0) {
+            const input = { baseVersion: 0, changeId: "dev-example", objects, actor: "lovage-dev" };
+            const applied = await control.control.submit("configuration.apply", input, options);
+            if (applied.kind !== "done" || applied.result.problems.length > 0) {
+                throw new SettingError(`the set in ${file} was refused: ${JSON.stringify(applied)}`);
+            }
+        }
+        for (const [budget, tokens] of [["dev-budget-1", 1_000_000], ["dev-budget-2", 200]] as const) {
+            await control.control.submit("budgets.topUp", { budget, tokens, actor: "lovage-dev" }, {
+                ...options,
+                operationId: `dev-top-up-${budget}`,
+            });
+        }
+    }
+
+    private async startAgents(host: Host, controlAddresses: readonly string[]) {
+        const engines = Array.from({ length: engineCount }, (_, position) => ({
+            name: `engine-${position + 1}`,
+            pool: "lovage-pool",
+            models: ["lovage-pool"],
+            kind: "modelEngine" as const,
+            handler: createModelEngine(host).handle,
+        }));
+        const services = Array.from({ length: serviceCount }, (_, position) => ({
+            name: `desk-${position + 1}`,
+            pool: "shopdesk",
+            models: [],
+            kind: "plainService" as const,
+            handler: createPlainService(host).handle,
+        }));
+        return Promise.all([...engines, ...services].map(async (server, position) => {
+            const listener: Listener = await host.network.serve({ address: "127.0.0.1:0", handler: server.handler, maxBodyBytes });
+            return startAgent(host, {
+                vm: `dev-agent-${server.name}`,
+                failureDomain: failureDomains[position % failureDomains.length]!,
+                listen: await findFreeAddress(host),
+                controlAddresses,
+                backendServer: server.name,
+                backendServerAddress: listener.address,
+                kind: server.kind,
+                pool: server.pool,
+                models: server.models,
+                adapters: [],
+                checksFencing: true,
+                maxConcurrent: 8,
+                fleetSecret,
+            });
+        }));
+    }
+}
+
+function hasCandidates(routing: { countCandidates(pool: string, nowMs: number): number; }, nowMs: number): boolean {
+    return routing.countCandidates("lovage-pool", nowMs) === engineCount && routing.countCandidates("shopdesk", nowMs) === serviceCount;
+}
+
+// An announced address must be known before the process that has it starts.
+async function findFreeAddress(host: Host): Promise<string> {
+    const handler = () => Promise.resolve();
+    const listener = await host.network.serve({ address: "127.0.0.1:0", handler, maxBodyBytes: 1 });
+    await listener.close();
+    return listener.address;
+}
+
+async function waitFor(host: Host, isMet: () => boolean, what: string): Promise<void> {
+    const giveUpAtMs = host.clock.nowMs() + startTimeoutMs;
+    while (!isMet()) {
+        if (host.clock.nowMs() > giveUpAtMs) throw new Error(`${what} did not become ready within ${startTimeoutMs} ms`);
+        await sleep(host.timers, pollMs);
+    }
+}
+
+const cli = new Cli({ binaryLabel: "lovage-dev", binaryName: "lovage-dev" });
+for (const command of [DevCommand, Builtins.HelpCommand]) cli.register(command);
+void cli.runExit(process.argv.slice(2));
