--- /dev/null
+++ b/bench/measure.ts
@@ -0,0 +1,81 @@
+/** `npm run measure`: budget scenarios on fake fleets. Prints one JSON object a run, or sums over many seeds. */
+import { Cli, Command, Option } from "clipanion";
+import type { BudgetDesign } from "./baselines.js";
+import { runBudgetScenario } from "./budgetRun.js";
+import type { BudgetRunResult } from "./budgetRun.js";
+import { scenarioNames } from "./scenarios.js";
+import type { ScenarioName } from "./scenarios.js";
+
+const designs: readonly BudgetDesign[] = ["design", "noRecall", "staticSplit", "central", "optimistic"];
+
+class MeasureCommand extends Command {
+    static override paths = [Command.Default];
+
+    scenario = Option.String("--scenario", "calm");
+    policy = Option.String("--policy", "cascade");
+    design = Option.String("--design", "design");
+    seed = Option.String("--seed", "1");
+    seeds = Option.String("--seeds", { description: "Number of seeds from --seed on; prints sums." });
+    isJson = Option.Boolean("--json", false);
+
+    override async execute(): Promise<number> {
+        const scenario = this.pick("--scenario", this.scenario, scenarioNames);
+        const policy = this.pick("--policy", this.policy, ["cascade", "suhara"] as const);
+        const chosen = this.design === "every" ? designs : [this.pick("--design", this.design, designs)];
+        for (const design of chosen) {
+            if (this.seeds === undefined) this.print({ scenario, policy, design, seed: Number(this.seed), ...await runBudgetScenario({ scenario, policy, design, seed: Number(this.seed) }) });
+            else this.print({ scenario, policy, design, ...await this.runSeeds(scenario, policy, design) });
+        }
+        return 0;
+    }
+
+    private async runSeeds(scenario: ScenarioName, policy: "cascade" | "suhara", design: BudgetDesign) {
+        const results: BudgetRunResult[] = [];
+        const failed: string[] = [];
+        for (let seed = Number(this.seed); seed < Number(this.seed) + Number(this.seeds); seed++) {
+            try {
+                const result = await runBudgetScenario({ scenario, policy, design, seed });
+                results.push(result);
+                if (isBroken(result) && design === "design") failed.push(`${seed}: ${JSON.stringify(result)}`);
+            }
+            catch (error) {
+                failed.push(`${seed}: ${String(error)}`);
+            }
+        }
+        return { seeds: results.length, ...sumResults(results), failed };
+    }
+
+    private pick<T extends string>(flag: string, value: string, choices: readonly T[]): T {
+        const choice = choices.find(candidate => candidate === value);
+        if (choice === undefined) throw new Error(`${flag} must be one of ${choices.join(", ")}`);
+        return choice;
+    }
+
+    private print(value: object): void {
+        this.context.stdout.write(`${this.isJson ? JSON.stringify(value) : JSON.stringify(value, undefined, 2)}\n`);
+    }
+}
+
+// What must be zero in every run.
+function isBroken(result: BudgetRunResult): boolean {
+    const { overspendTokens, doubleBills, doubleRuns, notRunThatRan, wrongAnswers, versionsFell } = result;
+    return overspendTokens + doubleBills + doubleRuns + notRunThatRan + wrongAnswers + versionsFell > 0;
+}
+
+const worst: ReadonlySet<keyof BudgetRunResult> = new Set(["strandedShare", "recoveryMs"]);
+
+function sumResults(results: readonly BudgetRunResult[]) {
+    const keys = Object.keys(results[0] ?? {}) as (keyof BudgetRunResult)[];
+    const sums = Object.fromEntries(keys.map(key => {
+        const values = results.map(result => result[key]);
+        const sum = values.reduce((total, value) => total + value, 0);
+        if (worst.has(key)) return [key, Math.max(...values)];
+        return [key, key === "controlCallsPerRequest" ? sum / values.length : sum];
+    }));
+    const requests = sums["requests"] ?? 1;
+    return { ...sums, falseRefusalShare: sums["falseRefusals"]! / requests, reachableFalseShare: sums["reachableFalseRefusals"]! / requests };
+}
+
+const cli = new Cli({ binaryName: "npm run measure --" });
+cli.register(MeasureCommand);
+void cli.runExit(process.argv.slice(2));
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -56,6 +56,8 @@
     /** Settles and closes every lease. Resolves false when control could not be reached. */
     close(timeoutMs: number): Promise<boolean>;
     getReservedTokens(): number;
+    /** Tokens of a budget that this entry could reserve now. */
+    getAvailableTokens(budget: string): number;
 }
 
 /** Options of a lease book. */
@@ -135,6 +137,10 @@
         },
         close,
         getReservedTokens: () => listAll().reduce((sum, lease) => sum + lease.reservedTokens, 0),
+        getAvailableTokens(budget) {
+            const lease = leases.get(budget);
+            return lease !== undefined && isUsable(lease) ? getAvailable(lease) : 0;
+        },
     };
 
     function listAll(): readonly HeldLease[] {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -43,6 +43,7 @@
     readonly router: ReturnType<typeof createEntryRouter>;
     readonly routing: Router;
     readonly statistics: EntryStatistics;
+    readonly leases: LeaseBook;
     handle(request: HttpRequest, response: HttpResponse): Promise<void>;
     start(): void;
     isReady(): boolean;
@@ -112,6 +113,7 @@
         router: createEntryRouter(api),
         routing,
         statistics,
+        leases,
         handle,
         start() {
             void announce();
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -30,8 +30,8 @@
     heartbeat(heartbeat: Heartbeat, timeoutMs: number): Promise<ControlOutcome<HeartbeatResult>>;
     /** Waits for the next published revision at any control VM. */
     watch(request: WatchRequest): Promise<WatchReply | undefined>;
-    /** Calls made so far, for measurements. */
-    getCallCount(): number;
+    /** Calls made so far by kind, for measurements. */
+    getCallCounts(): Readonly<Record<string, number>>;
 }
 
 const attemptTimeoutMs = 2_000;
@@ -44,15 +44,19 @@
     const time = createControlTimeBound(host.clock);
     let leaderAddress = addresses[0];
     let watchPosition = Math.floor(host.random.nextUnit() * addresses.length);
-    let callCount = 0;
+    const callCounts: Record<string, number> = {};
 
     return {
         time,
         submit: (kind, input, options) => {
             const operationId = options.operationId ?? host.random.nextId();
+            count(kind);
             return call(address => clients.get(address).submit.mutate({ operationId, kind, input }) as never, options.timeoutMs);
         },
-        query: (kind, input, options) => call(address => clients.get(address).query.query({ kind, input }) as never, options.timeoutMs),
+        query: (kind, input, options) => {
+            count(kind);
+            return call(address => clients.get(address).query.query({ kind, input }) as never, options.timeoutMs);
+        },
         heartbeat: (heartbeat, timeoutMs) => call(address => clients.get(address).heartbeat.mutate(heartbeat) as never, timeoutMs),
         async watch(request) {
             const address = addresses[watchPosition % addresses.length]!;
@@ -65,13 +69,16 @@
                 return undefined;
             }
         },
-        getCallCount: () => callCount,
+        getCallCounts: () => callCounts,
     };
 
+    function count(kind: string): void {
+        callCounts[kind] = (callCounts[kind] ?? 0) + 1;
+    }
+
     // Goes from address to address until one leads, or the time is up.
     async function call<T>(send: (address: Address) => Promise<ControlReply<T>>, timeoutMs: number): Promise<ControlOutcome<T>> {
         const deadlineMs = host.clock.nowMs() + timeoutMs;
-        callCount++;
         for (let tries = 1;; tries++) {
             const remainingMs = deadlineMs - host.clock.nowMs();
             if (remainingMs <= 0) return { kind: "unreachable" };
--- /dev/null
+++ b/test/log.test.ts
@@ -0,0 +1,147 @@
+/** The replicated log under crashes, cuts, damaged disks and changes of voters. */
+import { test } from "tap";
+import { StoreRefusedError } from "../src/control/log/store.js";
+import { createLogGroup } from "./logGroup.js";
+import type { LogGroup } from "./logGroup.js";
+
+async function proposeMany(group: LogGroup, count: number, prefix: string): Promise<void> {
+    const leader = await group.waitForLeader();
+    const index = group.members.indexOf(leader);
+    for (let number = 0; number < count; number++) {
+        const done = group.propose(index, `${prefix}${number}`);
+        if (await group.world.runUntil(done, 10_000) === undefined) throw new Error(`${prefix}${number} was not applied`);
+    }
+}
+
+function countApplied(group: LogGroup, index: number, prefix: string): number {
+    return [...group.members[index]!.applied.values()].filter(value => value.startsWith(prefix)).length;
+}
+
+test("three voters agree and a new leader keeps what was applied", async t => {
+    const group = await createLogGroup(1, 3);
+    await proposeMany(group, 20, "a");
+    const old = group.members.indexOf(group.getLeaders()[0]!);
+    group.crash(old);
+    await proposeMany(group, 20, "b");
+    await group.start(old);
+    await group.world.advance(3_000);
+    for (const index of group.members.keys()) {
+        t.equal(countApplied(group, index, "a"), 20);
+        t.equal(countApplied(group, index, "b"), 20);
+    }
+});
+
+test("a silently isolated leader neither writes nor reads", async t => {
+    const group = await createLogGroup(2, 3);
+    const leader = await group.waitForLeader();
+    const ip = leader.vm.ip;
+    group.world.setPartition((from, to) => (from === ip) !== (to === ip));
+    const write = leader.replica!.propose("lost", "value", "lost");
+    const read = leader.replica!.readBarrier();
+    t.not((await group.world.runUntil(write, 20_000)).kind, "applied");
+    t.equal((await group.world.runUntil(read, 20_000)).kind, "notLeader");
+    t.equal(leader.replica!.getStatus().role, "follower");
+    const next = await group.waitForLeader();
+    t.not(next.member.voterId, leader.member.voterId);
+    group.world.heal();
+    await group.world.advance(3_000);
+    t.equal(group.getLeaders().length, 1);
+    t.notOk([...group.chosen.values()].includes("lost"));
+});
+
+test("an isolated follower refuses reads and does not disturb the leader", async t => {
+    const group = await createLogGroup(3, 3);
+    const leader = await group.waitForLeader();
+    const follower = group.members.find(member => member !== leader)!;
+    const ip = follower.vm.ip;
+    group.world.setPartition((from, to) => (from === ip) !== (to === ip));
+    await group.world.advance(10_000);
+    const term = leader.replica!.getStatus().term;
+    t.equal((await group.world.runUntil(follower.replica!.readBarrier())).kind, "notLeader");
+    group.world.heal();
+    await group.world.advance(3_000);
+    t.equal(leader.replica!.getStatus().term, term, "pre-vote keeps the term");
+    t.equal(leader.replica!.getStatus().role, "leader");
+});
+
+test("a follower comes back after hundreds of changes and a snapshot", async t => {
+    const group = await createLogGroup(4, 3, 40);
+    const leader = await group.waitForLeader();
+    const away = group.members.findIndex(member => member !== leader);
+    group.crash(away);
+    for (let round = 0; round < 60; round++) {
+        await group.world.runUntil(Promise.all(Array.from({ length: 30 }, (_, number) =>
+            group.propose(group.members.indexOf(leader), `r${round}.${number}`)
+        )));
+    }
+    await group.start(away);
+    await group.world.advance(5_000);
+    t.equal(countApplied(group, away, "r"), 1_800);
+});
+
+test("a torn tail is cut and a lost unsynced write was never acknowledged", async t => {
+    const group = await createLogGroup(5, 1);
+    await proposeMany(group, 10, "a");
+    void group.propose(0, "in flight");
+    group.crash(0);
+    await group.start(0);
+    await group.waitForLeader();
+    await group.world.advance(1_000);
+    t.equal(countApplied(group, 0, "a"), 10);
+});
+
+test("a bit flipped before the tail is refused", async t => {
+    const group = await createLogGroup(6, 1);
+    await proposeMany(group, 10, "a");
+    group.crash(0);
+    const file = group.members[0]!.vm.disk.listFiles().find(name => name.includes("segment"))!;
+    group.members[0]!.vm.disk.flipBit(file, Math.floor(group.members[0]!.vm.disk.getSizeBytes(file) / 2));
+    await t.rejects(group.start(0), StoreRefusedError);
+});
+
+test("an emptied disk under the old identity is refused", async t => {
+    const group = await createLogGroup(7, 3);
+    await proposeMany(group, 5, "a");
+    group.crash(0);
+    group.members[0]!.vm.disk.wipe();
+    await t.rejects(group.start(0), StoreRefusedError);
+});
+
+test("a full disk stops a voter and loses nothing", async t => {
+    const group = await createLogGroup(8, 3);
+    await proposeMany(group, 5, "a");
+    const leader = await group.waitForLeader();
+    leader.vm.disk.setFull(true);
+    const refused = leader.replica!.propose("x", "value", "x");
+    t.not((await group.world.runUntil(refused, 20_000)).kind, "applied");
+    t.equal(leader.replica!.getStatus().hasDiskFailed, true);
+    await proposeMany(group, 5, "b");
+    leader.vm.disk.setFull(false);
+    await group.world.advance(5_000);
+    t.equal(countApplied(group, group.members.indexOf(leader), "b"), 5);
+});
+
+test("a voter is replaced and a second loss right after leaves a quorum", async t => {
+    const group = await createLogGroup(9, 3);
+    await proposeMany(group, 100, "a");
+    const leader = await group.waitForLeader();
+    const others = group.members.filter(member => member !== leader);
+    group.crash(group.members.indexOf(others[0]!));
+    const added = await group.add("v4");
+    const replaced = leader.replica!.replaceVoter(others[0]!.member.voterId, group.members[added]!.member);
+    t.equal((await group.world.runUntil(replaced, 60_000)).kind, "applied");
+    group.crash(group.members.indexOf(others[1]!));
+    await proposeMany(group, 10, "b");
+    t.equal(countApplied(group, added, "a"), 100);
+    const { membership } = leader.replica!.getStatus();
+    t.same(membership.voters.map(voter => voter.voterId).sort(), [leader.member.voterId, others[1]!.member.voterId, "v4"].sort());
+});
+
+test("leadership is handed over without an election timeout", async t => {
+    const group = await createLogGroup(10, 3);
+    await proposeMany(group, 5, "a");
+    const leader = group.getLeaders()[0]!;
+    t.ok(await group.world.runUntil(leader.replica!.handOver(), 10_000));
+    const next = await group.waitForLeader();
+    t.not(next, leader);
+});
--- /dev/null
+++ b/test/logGroup.ts
@@ -0,0 +1,127 @@
+/** A group of log replicas on fake hosts, with a state machine that keeps what it applied. */
+import { createPeerCalls, createRootRouter } from "../src/control/log/peers.js";
+import { createReplica } from "../src/control/log/replica.js";
+import type { Replica, StateMachine } from "../src/control/log/replica.js";
+import { formatStore, openStore } from "../src/control/log/store.js";
+import type { LogStore } from "../src/control/log/store.js";
+import type { Member } from "../src/control/log/types.js";
+import { createFakeWorld } from "../src/standins/fakeHost.js";
+import type { FakeVm, FakeWorld } from "../src/standins/fakeHost.js";
+
+/** One replica on its VM. */
+export interface GroupMember {
+    readonly member: Member;
+    readonly vm: FakeVm;
+    replica: Replica | undefined;
+    store: LogStore | undefined;
+    /** What this life of the replica has applied, by index. */
+    applied: Map<number, string>;
+}
+
+/** A group of replicas. */
+export interface LogGroup {
+    readonly world: FakeWorld;
+    readonly members: GroupMember[];
+    /** Value that any replica applied at an index. Two values at one index fail at once. */
+    readonly chosen: Map<number, string>;
+    start(index: number): Promise<void>;
+    crash(index: number): void;
+    /** Adds a VM that is formatted to join. */
+    add(voterId: string): Promise<number>;
+    getLeaders(): readonly GroupMember[];
+    waitForLeader(): Promise<GroupMember>;
+    propose(index: number, value: string): Promise<number | undefined>;
+}
+
+const folder = "/data";
+const groupId = "group";
+
+/** Starts a group. */
+export async function createLogGroup(seed: number, size: number, snapshotEveryEntries = 50): Promise<LogGroup> {
+    const world = createFakeWorld(seed);
+    const founders: Member[] = Array.from({ length: size }, (_, index) => createMember(index, `v${index + 1}`));
+    const chosen = new Map<number, string>();
+    const members: GroupMember[] = founders.map(member => createGroupMember(member));
+    for (const [index, member] of members.entries()) {
+        await formatStore(member.vm.host.disk, folder, { groupId, voterId: member.member.voterId, founders: { voters: founders, learners: [] } });
+        await start(index);
+    }
+    return {
+        world,
+        members,
+        chosen,
+        start,
+        crash(index) {
+            members[index]!.vm.crash();
+            members[index]!.replica = undefined;
+        },
+        async add(voterId) {
+            const member = createGroupMember(createMember(members.length, voterId));
+            members.push(member);
+            await formatStore(member.vm.host.disk, folder, { groupId, voterId, founders: { voters: [], learners: [] } });
+            await start(members.length - 1);
+            return members.length - 1;
+        },
+        getLeaders,
+        async waitForLeader() {
+            for (let tries = 0; tries < 200; tries++) {
+                await world.advance(50);
+                const leader = getLeaders()[0];
+                if (leader !== undefined) return leader;
+            }
+            throw new Error(`no leader:\n${world.logLines.slice(-20).join("\n")}`);
+        },
+        async propose(index, value) {
+            const result = await members[index]!.replica?.propose(value, "value", value);
+            return result?.kind === "applied" ? result.index : undefined;
+        },
+    };
+
+    function createMember(index: number, voterId: string): Member {
+        return { voterId, address: `10.0.0.${index + 1}:7000`, failureDomain: `d${index % 3}` };
+    }
+
+    function createGroupMember(member: Member): GroupMember {
+        return { member, vm: world.createVm(member.address.split(":")[0]!), replica: undefined, store: undefined, applied: new Map() };
+    }
+
+    function getLeaders(): readonly GroupMember[] {
+        return members.filter(member => member.replica?.getStatus().role === "leader");
+    }
+
+    async function start(index: number): Promise<void> {
+        const member = members[index]!;
+        const host = member.vm.restart();
+        member.applied = new Map();
+        const store = await openStore(host.disk, folder, groupId, member.member.voterId);
+        const replica = createReplica(host, {
+            self: member.member,
+            store,
+            machine: createMachine(member),
+            calls: createPeerCalls(host),
+            timing: { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 200 },
+            snapshotEveryEntries,
+        });
+        await host.network.serve({ address: member.member.address, handler: () => Promise.resolve(), router: createRootRouter(replica), maxBodyBytes: 1e9 });
+        member.replica = replica;
+        member.store = store;
+        replica.start();
+    }
+
+    function createMachine(member: GroupMember): StateMachine {
+        return {
+            apply(entry) {
+                const value = String(entry.input);
+                const known = chosen.get(entry.index);
+                if (known !== undefined && known !== value) throw new Error(`index ${entry.index} holds ${known} and ${value}`);
+                chosen.set(entry.index, value);
+                member.applied.set(entry.index, value);
+                return value;
+            },
+            save: () => [...member.applied],
+            load(state) {
+                member.applied = new Map(state as [number, string][]);
+            },
+        };
+    }
+}
--- /dev/null
+++ b/test/logRandom.test.ts
@@ -0,0 +1,89 @@
+/** Long seeded runs of the log: one value an index, nothing acknowledged is lost, no read older than a write. */
+import { test } from "tap";
+import { createLogGroup } from "./logGroup.js";
+import type { LogGroup } from "./logGroup.js";
+
+const steps = 400;
+
+interface History {
+    /** Highest index of a write that was acknowledged, by the time a read begins. */
+    acknowledgedIndex: number;
+    readonly acknowledged: Map<number, string>;
+    staleReads: number;
+    reads: number;
+}
+
+async function write(group: LogGroup, index: number, value: string, history: History): Promise<void> {
+    const at = await group.propose(index, value);
+    if (at === undefined) return;
+    history.acknowledged.set(at, value);
+    history.acknowledgedIndex = Math.max(history.acknowledgedIndex, at);
+}
+
+async function read(group: LogGroup, index: number, history: History): Promise<void> {
+    const expected = history.acknowledgedIndex;
+    const barrier = await group.members[index]!.replica?.readBarrier();
+    if (barrier?.kind !== "confirmed") return;
+    history.reads++;
+    if (barrier.index < expected) history.staleReads++;
+}
+
+function disturb(group: LogGroup, isDown: boolean[]): Promise<void> | undefined {
+    const { world, members } = group;
+    const pick = Math.floor(world.random() * members.length);
+    const ip = members[pick]!.vm.ip;
+    const choice = world.random();
+    if (choice < 0.25) world.setPartition((from, to) => (from === ip) !== (to === ip));
+    else if (choice < 0.5) world.heal();
+    else if (choice < 0.6) world.setFaults({ lossShare: 0.1, duplicationShare: 0.1, maxDelayMs: 60 });
+    else if (choice < 0.7) world.setFaults({ lossShare: 0, duplicationShare: 0, maxDelayMs: 1.5 });
+    else if (!isDown[pick] && isDown.filter(Boolean).length === 0) {
+        isDown[pick] = true;
+        group.crash(pick);
+    }
+    else {
+        const down = isDown.findIndex(Boolean);
+        if (down < 0) return undefined;
+        isDown[down] = false;
+        return group.start(down);
+    }
+    return undefined;
+}
+
+async function run(seed: number, size: number): Promise<{ readonly group: LogGroup; readonly history: History }> {
+    const group = await createLogGroup(seed, size, 30);
+    const history: History = { acknowledgedIndex: 0, acknowledged: new Map(), staleReads: 0, reads: 0 };
+    const isDown = group.members.map(() => false);
+    for (let step = 0; step < steps; step++) {
+        const target = Math.floor(group.world.random() * size);
+        if (group.world.random() < 0.6) void write(group, target, `${seed}.${step}`, history);
+        else void read(group, target, history);
+        if (group.world.random() < 0.08) await disturb(group, isDown);
+        await group.world.advance(group.world.random() * 120);
+    }
+    group.world.heal();
+    group.world.setFaults({ lossShare: 0, duplicationShare: 0, maxDelayMs: 1.5 });
+    for (const [index, down] of isDown.entries()) {
+        if (down) await group.start(index);
+    }
+    await group.world.advance(10_000);
+    return { group, history };
+}
+
+test("random runs keep every promise of the log", async t => {
+    let acknowledged = 0;
+    let reads = 0;
+    for (let seed = 100; seed < 112; seed++) {
+        const { group, history } = await run(seed, seed % 2 === 0 ? 3 : 5);
+        const leader = await group.waitForLeader();
+        for (const [index, value] of history.acknowledged) {
+            if (leader.applied.get(index) !== value) t.fail(`seed ${seed} lost ${value} at ${index}`);
+        }
+        t.equal(history.staleReads, 0, `seed ${seed} has no stale read`);
+        const last = Math.max(...group.members.map(member => member.replica!.getStatus().commitIndex));
+        t.ok(group.members.every(member => member.replica!.getStatus().appliedIndex === last), `seed ${seed} converges`);
+        acknowledged += history.acknowledged.size;
+        reads += history.reads;
+    }
+    t.ok(acknowledged > 500 && reads > 200, `the runs did work: ${acknowledged} writes, ${reads} reads`);
+});
