--- a/src/agent/reporter.ts
+++ b/src/agent/reporter.ts
@@ -32,7 +32,7 @@
 }
 
 const heartbeatMs = 2_000;
-const reportMs = 250;
+const reportMs = 500;
 const callTimeoutMs = 1_500;
 const announceTimeoutMs = 3_000;
 const leasesPerHeartbeat = 200;
--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -25,8 +25,10 @@
     beginRecovery(leaseId: string, isSuperseded: boolean, nowMs: number): boolean;
     /** Closes a recovering lease at the totals that its agents gave. */
     closeRecovered(leaseId: string, spent: Readonly<Record<Incarnation, number>>): boolean;
-    /** Closes a lease that recovery holds, at a total that an operator or the policy gives. */
+    /** Closes a lease that recovery holds, at a total that an operator gives. */
     closeAt(leaseId: string, spentTokens: number): boolean;
+    /** Closes a recovering lease at all that it holds, because its use was lost. */
+    writeOff(leaseId: string, knownSpent: Readonly<Record<Incarnation, number>>): boolean;
     /** Keeps the rest of a recovering lease for an operator, because its use was lost. */
     holdInDoubt(leaseId: string, knownSpent: Readonly<Record<Incarnation, number>>): boolean;
     getLease(leaseId: string): Lease | undefined;
@@ -86,6 +88,15 @@
             closeLease({ ...lease, settledTokens });
             return true;
         },
+        writeOff(leaseId, knownSpent) {
+            const lease = leases.get(leaseId);
+            if (lease?.state !== "recovering") return false;
+            const known = settleMore(lease, knownSpent);
+            const account = getAccount(lease.budget);
+            setAccount({ ...account, writtenOffTokens: account.writtenOffTokens + getHeldTokens(known) });
+            closeLease({ ...known, settledTokens: known.settledTokens + getHeldTokens(known) });
+            return true;
+        },
         holdInDoubt(leaseId, knownSpent) {
             const lease = leases.get(leaseId);
             if (lease?.state !== "recovering") return false;
@@ -127,6 +138,7 @@
             budget,
             toppedUpTokens: 0,
             closedSettledTokens: 0,
+            writtenOffTokens: 0,
             leaseIds: new Set(),
             starvingUntilMs: 0,
         };
@@ -183,8 +195,8 @@
             else inDoubtTokens += getHeldTokens(lease);
         }
         const freeTokens = account.toppedUpTokens - settledTokens - leasedTokens - inDoubtTokens;
-        const { budget, toppedUpTokens } = account;
-        return { budget, toppedUpTokens, settledTokens, leasedTokens, inDoubtTokens, freeTokens };
+        const { budget, toppedUpTokens, writtenOffTokens } = account;
+        return { budget, toppedUpTokens, settledTokens, leasedTokens, inDoubtTokens, freeTokens, writtenOffTokens };
     }
 
     function renew(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): LeaseGrant {
--- a/src/control/plugins/budgets/plugin.ts
+++ b/src/control/plugins/budgets/plugin.ts
@@ -32,7 +32,7 @@
     const closings: Readonly<Record<"close" | "hold" | "writeOff", (lease: Lease, spent: Readonly<Record<string, number>>) => void>> = {
         close: (lease, spent) => void ledger.closeRecovered(lease.leaseId, spent),
         hold: (lease, spent) => void ledger.holdInDoubt(lease.leaseId, spent),
-        writeOff: lease => void ledger.closeAt(lease.leaseId, lease.settledTokens + getHeldTokens(lease)),
+        writeOff: (lease, spent) => void ledger.writeOff(lease.leaseId, spent),
     };
 
     const plugin: ControlPlugin = {
@@ -117,6 +117,6 @@
 
     function createEmptyView(budget: string) {
         if (options.getObjects().get("budget", budget) === undefined) return undefined;
-        return { budget, toppedUpTokens: 0, settledTokens: 0, leasedTokens: 0, inDoubtTokens: 0, freeTokens: 0 };
+        return { budget, toppedUpTokens: 0, settledTokens: 0, leasedTokens: 0, inDoubtTokens: 0, freeTokens: 0, writtenOffTokens: 0 };
     }
 }
--- a/src/control/plugins/budgets/types.ts
+++ b/src/control/plugins/budgets/types.ts
@@ -33,6 +33,8 @@
     readonly toppedUpTokens: number;
     /** Settled under leases that are closed. */
     readonly closedSettledTokens: number;
+    /** Part of the settled tokens that was written off because its use was lost. */
+    readonly writtenOffTokens: number;
     readonly leaseIds: ReadonlySet<string>;
     /** Until then only starving requests get tokens. */
     readonly starvingUntilMs: number;
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -10,6 +10,8 @@
 export interface AnswerWriter {
     /** True once the caller has seen a part, so that no other attempt can take over. */
     readonly hasStarted: boolean;
+    /** Forgets what an earlier attempt gave that the caller has not seen. */
+    restart(): void;
     head(frame: Extract<Frame, { kind: "head"; }>): void;
     chunk(data: string): Promise<void>;
     /** Sends what was held back and ends the answer. */
@@ -72,6 +74,9 @@
         get hasStarted() {
             return response.hasStarted;
         },
+        restart() {
+            heldBack = undefined;
+        },
         head: () => undefined,
         async chunk(data) {
             if (!response.hasStarted) {
@@ -106,13 +111,18 @@
 
 function createCompletionWriter(exchange: Exchange): AnswerWriter {
     const { response } = exchange;
-    const parts: string[] = [];
+    let parts: string[] = [];
     let first: CompletionChunk | undefined;
     let finishReason = "stop";
     return {
         get hasStarted() {
             return response.hasStarted;
         },
+        restart() {
+            parts = [];
+            first = undefined;
+            finishReason = "stop";
+        },
         head: () => undefined,
         async chunk(data) {
             const chunk = JSON.parse(data) as CompletionChunk;
@@ -157,6 +167,10 @@
         get hasStarted() {
             return response.hasStarted;
         },
+        restart() {
+            head = undefined;
+            heldBack = undefined;
+        },
         head(frame) {
             head = frame;
         },
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -98,9 +98,12 @@
 const renewTimeoutMs = 1_500;
 const starvingRetryMs = 50;
 const tickMs = 250;
+/** Pause between two renewals by which a lease that is nearly empty asks for more. */
 const refillPauseMs = 1_000;
 /** A settlement waits for others, a short while after a quiet time and longer in a steady stream. */
-const settleDelayMs = { quiet: 1_000, steady: 5_000 } as const;
+const settleDelayMs = { quiet: 1_000, steady: 8_000 } as const;
+/** Demand that a lease must cover, or it asks for more before its turn. */
+const urgentHorizonMs = 3_000;
 /** A lease is renewed after this share of its length. */
 const renewShare = 0.25;
 const retryAfterMs = 2_000;
@@ -121,6 +124,7 @@
     let waiterCount = 0;
     let lastControlTimeMs = 0;
     let isRenewalForced = false;
+    let lastRenewalMs = -Infinity;
 
     return {
         reserve,
@@ -281,14 +285,13 @@
 
     function isDue(lease: HeldLease, nowMs: number): boolean {
         if (nowMs >= lease.renewAtMs || shouldClose(lease, nowMs)) return true;
-        const settleAtMs = Math.max(lease.renewedAtMs + settleDelayMs.steady, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
+        const settleAtMs = Math.max(lastRenewalMs + settleDelayMs.steady, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
         if (lease.changedAtMs !== undefined && nowMs >= settleAtMs) return true;
         return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + refillPauseMs;
     }
 
     function isLow(lease: HeldLease, nowMs: number): boolean {
-        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
-        return !retired.has(lease) && getAvailable(lease) < targetTokens / 2;
+        return !retired.has(lease) && getAvailable(lease) < lease.demand.getTargetTokens(urgentHorizonMs, nowMs) / 2;
     }
 
     function shouldClose(lease: HeldLease, nowMs: number): boolean {
@@ -302,6 +305,7 @@
         for (const lease of leases.values()) giveBackExcess(lease, nowMs);
         const due = listAll().filter(lease => lease.waiting.size > 0 || lease.changedAtMs !== undefined || isDue(lease, nowMs));
         if (due.length === 0) return;
+        lastRenewalMs = nowMs;
         const renewals = due.map(lease => createRenewal(lease, nowMs));
         const { vm, incarnation } = options;
         const outcome = await control.submit("leases.renew", { vm, incarnation, leases: renewals }, { timeoutMs: renewTimeoutMs });
--- a/src/entry/delivery/stage.ts
+++ b/src/entry/delivery/stage.ts
@@ -40,6 +40,7 @@
         };
         const choice = await chooseWithin(delivery, exchange, routeRequest);
         if (choice === undefined) break;
+        if (!writer.hasStarted) writer.restart();
         const result = await runOrRefuse(delivery, { exchange, writer, choice, routeRequest, number, replacesRequestId }, verdict);
         if (result.kind === "delivered") return;
         if (result.kind === "failed") return writer.fail(result.verdict);
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -4,6 +4,7 @@
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, randomBytes, randomInt, timingSafeEqual } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { promises as files } from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
@@ -34,6 +35,8 @@
 
 /** Creates the real host. */
 export function createNodeHost(options: NodeHostOptions): Host {
+    // Many tasks wait on one signal that stops the process. That is no leak.
+    setMaxListeners(0);
     return {
         clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
         timers: {
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -129,6 +129,8 @@
     readonly leasedTokens: number;
     readonly inDoubtTokens: number;
     readonly freeTokens: number;
+    /** Part of the settled tokens that was written off because its use was lost with an agent. */
+    readonly writtenOffTokens: number;
 }
 
 /** One line of the audit trail. */
