Count prompt tokens exactly when a budget runs short; hold more ahead

Cause of false refusals at a low balance: the reservation bounds the prompt by its bytes (4 to 5 times its tokens), so that the last requests did not fit although their true cost did; in a partition the lease held 60 s of a rate that a 10 s half-life had forgotten.

--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -33,6 +33,7 @@
 ): LeaseBook {
     return {
         reserve,
+        tryReserve: () => undefined,
         start,
         giveBack: () => undefined,
         forceRenewal: () => undefined,
--- a/src/agent/adapters/modelEngine.ts
+++ b/src/agent/adapters/modelEngine.ts
@@ -15,6 +15,7 @@
     tokensPerSecond: z.number(),
 });
 const cacheEventsSchema = z.object({ next: z.number(), added: z.array(z.string()), removed: z.array(z.string()) });
+const countSchema = z.object({ count: z.number().int().nonnegative() });
 const usageSchema = z.object({ prompt_tokens: z.number(), completion_tokens: z.number() });
 const chunkSchema = z.object({
     choices: z.array(z.object({ delta: z.object({ content: z.string().nullish() }).nullish() })).nullish(),
@@ -64,6 +65,17 @@
             cachePosition = cache.next;
             return { ...load, isHealthy: true, learnedAtMs: host.clock.nowMs(), cacheAdded: cache.added, cacheRemoved: cache.removed };
         },
+        async countPromptTokens(body) {
+            const { model, messages } = JSON.parse(body) as { model: unknown; messages: unknown };
+            const reply = await host.network.request(address, {
+                method: "POST",
+                path: "/tokenize",
+                headers: { "content-type": "application/json" },
+                body: Buffer.from(JSON.stringify({ model, messages })),
+            });
+            const counted = countSchema.safeParse(JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")));
+            return reply.status === 200 && counted.success ? counted.data.count : undefined;
+        },
         applyOrder: order => sendOrder(host, address, order),
     };
 }
--- a/src/agent/adapters/plainService.ts
+++ b/src/agent/adapters/plainService.ts
@@ -47,6 +47,7 @@
                 cacheRemoved: [],
             };
         },
+        countPromptTokens: () => Promise.resolve(undefined),
         applyOrder: () => Promise.resolve(false),
     };
 }
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -100,6 +100,9 @@
             return { kind: "closed", uses: request.leaseIds.map(counters.getUse) };
         },
         cancel: request => runner.cancel(request),
+        async countTokens({ body }) {
+            return { promptTokens: await options.adapter.countPromptTokens(body).catch(() => undefined) };
+        },
     };
 
     return {
--- a/src/agent/types.ts
+++ b/src/agent/types.ts
@@ -37,5 +37,7 @@
     run(dispatch: Dispatch, body: Uint8Array, signal: AbortSignal, sink: AnswerSink): Promise<RunOutcome>;
     /** Asks the backend server for its load and cache events. */
     refreshLoad(): Promise<EngineLoad>;
+    /** Prompt tokens of a chat request, by the engine's own tokenizer. */
+    countPromptTokens(body: string): Promise<number | undefined>;
     applyOrder(order: EngineOrder): Promise<boolean>;
 }
--- a/src/entry/budgets/demand.ts
+++ b/src/entry/budgets/demand.ts
@@ -6,18 +6,25 @@
     noteRequest(reservedTokens: number, nowMs: number): void;
     /** A request was billed. */
     noteUse(billedTokens: number, nowMs: number): void;
-    /** Unreserved tokens that are good to hold. */
+    /** Unreserved tokens that are good to hold for a time without control. */
     getTargetTokens(horizonMs: number, nowMs: number): number;
+    /** Unreserved tokens below which the next requests may have to wait. */
+    getUrgentTokens(nowMs: number): number;
 }
 
-const halfLifeMs = 10_000;
-const requestsAhead = 2;
+const rateHalfLifeMs = 60_000;
+const sizeHalfLifeMs = 60_000;
+/** A rate that was measured for less than this is not extrapolated further. */
+const minMeasuredMs = 10_000;
+const requestsAhead = 6;
+const urgentHorizonMs = 3_000;
 
 /** Creates a meter that has seen nothing. */
 export function createDemandMeter(): DemandMeter {
-    let ratePerMs = 0;
+    let weightedTokens = 0;
     let largestTokens = 0;
-    let updatedAtMs: number | undefined;
+    let startedAtMs: number | undefined;
+    let updatedAtMs = 0;
 
     return {
         noteRequest(reservedTokens, nowMs) {
@@ -26,20 +33,30 @@
         },
         noteUse(billedTokens, nowMs) {
             decay(nowMs);
-            ratePerMs += billedTokens * Math.LN2 / halfLifeMs;
+            weightedTokens += billedTokens;
         },
         getTargetTokens(horizonMs, nowMs) {
             decay(nowMs);
-            return Math.ceil(ratePerMs * horizonMs + requestsAhead * largestTokens);
+            return Math.ceil(getRatePerMs(nowMs) * horizonMs + requestsAhead * largestTokens);
+        },
+        getUrgentTokens(nowMs) {
+            decay(nowMs);
+            return Math.ceil(getRatePerMs(nowMs) * urgentHorizonMs + largestTokens);
         },
     };
 
     function decay(nowMs: number): void {
-        const elapsedMs = nowMs - (updatedAtMs ?? nowMs);
+        startedAtMs ??= nowMs;
+        const elapsedMs = nowMs - updatedAtMs;
         updatedAtMs = nowMs;
-        if (elapsedMs <= 0) return;
-        const factor = 2 ** (-elapsedMs / halfLifeMs);
-        ratePerMs *= factor;
-        largestTokens *= factor;
+        weightedTokens *= 2 ** (-elapsedMs / rateHalfLifeMs);
+        largestTokens *= 2 ** (-elapsedMs / sizeHalfLifeMs);
+    }
+
+    // The weights of the time measured so far sum to less than those of an endless one, which is made good.
+    function getRatePerMs(nowMs: number): number {
+        const measuredMs = Math.max(minMeasuredMs, nowMs - (startedAtMs ?? nowMs));
+        const weightMs = rateHalfLifeMs / Math.LN2 * (1 - 2 ** (-measuredMs / rateHalfLifeMs));
+        return weightedTokens / weightMs;
     }
 }
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -23,8 +23,8 @@
 
 /** Preferences by what the owner weighs more. */
 export const budgetPreferences: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>> = {
-    overspend: { horizonMs: 60_000, maxWaitMs: 2_000 },
-    falseRefusals: { horizonMs: 180_000, maxWaitMs: 5_000 },
+    overspend: { horizonMs: 120_000, maxWaitMs: 2_000 },
+    falseRefusals: { horizonMs: 300_000, maxWaitMs: 5_000 },
 };
 
 /** Tokens set aside for one attempt. It ends by exactly one `settle`. */
@@ -48,6 +48,8 @@
 export interface LeaseBook {
     /** Sets tokens aside. Refuses as not run when the budget cannot cover them. */
     reserve(request: ReservationRequest): Promise<Reservation>;
+    /** Sets tokens aside only if this entry holds them now. */
+    tryReserve(request: ReservationRequest): Reservation | undefined;
     /** Gives unreserved tokens of these budgets back at once. */
     giveBack(budgets: readonly string[]): void;
     /** Settles at control without waiting for more. */
@@ -93,20 +95,28 @@
     changedAtMs: number | undefined;
     /** Local time at which the lease is renewed even when nothing changed. */
     renewAtMs: number;
+    /** False when the last renewal asked for tokens and got none. */
+    hasGrown: boolean;
+    /** Control's last word that a request of this size cannot be covered. */
+    exhausted: { readonly tokens: number; readonly saidAtMs: number } | undefined;
 }
 
 const renewTimeoutMs = 1_500;
-const starvingRetryMs = 50;
+/** Pauses between renewals while a request waits for tokens. Each is longer than the one before. */
+const starvingRetryMs = { first: 40, max: 500, factor: 1.6 } as const;
+const closeRetryMs = 50;
 const tickMs = 250;
-/** Pause between two renewals by which a lease that is nearly empty asks for more. */
-const refillPauseMs = 1_000;
+/** Pause between two renewals by which a lease that is nearly empty asks for more, by whether the last one gave any. */
+const refillPauseMs = { given: 1_000, refused: 8_000 } as const;
+/** How long control's word that a budget is exhausted stands for requests of the same size or larger. */
+const exhaustedStandsMs = 500;
 /** A settlement waits for others, a short while after a quiet time and longer in a steady stream. */
 const settleDelayMs = { quiet: 1_000, steady: 8_000 } as const;
-/** Demand that a lease must cover, or it asks for more before its turn. */
-const urgentHorizonMs = 3_000;
 /** A lease is renewed after this share of its length. */
 const renewShare = 0.25;
 const retryAfterMs = 2_000;
+/** A top-up is the only cure, and operators need a while. */
+const exhaustedRetryMs = 30_000;
 const idleCloseMs = 60_000;
 /** Unreserved tokens beyond this multiple of the target go back. */
 const keepFactor = 2;
@@ -128,6 +138,12 @@
 
     return {
         reserve,
+        tryReserve(request) {
+            const lease = getLease(request);
+            lease.demand.noteRequest(request.tokens, host.clock.nowMs());
+            const isFree = lease.waiting.size === 0 && isUsable(lease) && getAvailable(lease) >= request.tokens;
+            return isFree ? take(lease, request.tokens) : undefined;
+        },
         giveBack(budgets) {
             for (const budget of budgets) {
                 const lease = leases.get(budget);
@@ -183,6 +199,8 @@
             renewedAtMs: -Infinity,
             changedAtMs: undefined,
             renewAtMs: Infinity,
+            hasGrown: true,
+            exhausted: undefined,
         };
         leases.set(request.budget, created);
         return created;
@@ -203,28 +221,28 @@
                 return take(lease, request.tokens);
             }
             const isLast = host.clock.nowMs() >= giveUpAtMs;
-            if (isLast || isHopeless(lease, isFirstTry)) {
+            if (isLast || isHopeless(lease, isFirstTry, request.tokens)) {
                 lease.waiting.delete(waiter);
                 refuseReservation(lease);
             }
+            if (isFirstTry) renewNow.notify();
             isFirstTry = false;
             lease.waiting.set(waiter, request.tokens);
-            lease.lastOutcome = lease.lastOutcome === "exhausted" ? "recalling" : lease.lastOutcome;
-            renewNow.notify();
             await lease.changed.wait(Math.max(1, giveUpAtMs - host.clock.nowMs()));
             if (lease !== leases.get(request.budget)) lease.waiting.delete(waiter);
         }
     }
 
     // A refusal as exhausted needs control's word, given after this request began to wait.
-    function isHopeless(lease: HeldLease, isFirstTry: boolean): boolean {
-        if (isFirstTry) return false;
-        return lease.lastOutcome === "exhausted" || lease.isUnknown;
+    function isHopeless(lease: HeldLease, isFirstTry: boolean, tokens: number): boolean {
+        const { exhausted } = lease;
+        if (exhausted !== undefined && tokens >= exhausted.tokens && host.clock.nowMs() - exhausted.saidAtMs < exhaustedStandsMs) return true;
+        return !isFirstTry && lease.isUnknown;
     }
 
     function refuseReservation(lease: HeldLease): never {
         if (lease.isUnknown) refuse("budgetExhausted", "The budget is not in the configuration in force.");
-        if (lease.lastOutcome === "exhausted") refuse("budgetExhausted");
+        if (lease.lastOutcome === "exhausted") refuse("budgetExhausted", undefined, exhaustedRetryMs);
         if (lease.lastOutcome === "unreachable") refuse("budgetUnavailable", undefined, retryAfterMs);
         refuse("budgetExhausted", "The rest of the prepaid budget is held by running requests.", retryAfterMs);
     }
@@ -271,6 +289,7 @@
     }
 
     async function renewTask(signal: AbortSignal): Promise<void> {
+        let starvingPauseMs: number = starvingRetryMs.first;
         while (!signal.aborted) {
             const nowMs = host.clock.nowMs();
             const isStarving = listAll().some(lease => lease.waiting.size > 0);
@@ -278,7 +297,8 @@
                 isRenewalForced = false;
                 await renewDue().catch(error => log.warn("A renewal failed.", { detail: getErrorText(error) }));
             }
-            if (isStarving) await sleep(host.timers, starvingRetryMs, signal);
+            starvingPauseMs = isStarving ? Math.min(starvingRetryMs.max, starvingPauseMs * starvingRetryMs.factor) : starvingRetryMs.first;
+            if (isStarving) await renewNow.wait(starvingPauseMs);
             else if (!isRenewalForced) await renewNow.wait(tickMs);
         }
     }
@@ -287,11 +307,11 @@
         if (nowMs >= lease.renewAtMs || shouldClose(lease, nowMs)) return true;
         const settleAtMs = Math.max(lastRenewalMs + settleDelayMs.steady, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
         if (lease.changedAtMs !== undefined && nowMs >= settleAtMs) return true;
-        return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + refillPauseMs;
+        return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + (lease.hasGrown ? refillPauseMs.given : refillPauseMs.refused);
     }
 
     function isLow(lease: HeldLease, nowMs: number): boolean {
-        return !retired.has(lease) && getAvailable(lease) < lease.demand.getTargetTokens(urgentHorizonMs, nowMs) / 2;
+        return !retired.has(lease) && getAvailable(lease) < lease.demand.getUrgentTokens(nowMs);
     }
 
     function shouldClose(lease: HeldLease, nowMs: number): boolean {
@@ -360,6 +380,11 @@
         else if (grant.outcome === "closed") retire(lease);
         else if (grant.outcome === "unknownBudget") lease.isUnknown = true;
         else {
+            lease.hasGrown = grant.grantedTokens > lease.grantedTokens || renewal.wantTokens + renewal.starvingTokens === 0;
+            lease.exhausted = grant.outcome !== "exhausted" ? undefined : {
+                tokens: renewal.starvingTokens + Math.max(0, getAvailable(lease)),
+                saidAtMs: host.clock.nowMs(),
+            };
             lease.grantedTokens = Math.max(lease.grantedTokens, grant.grantedTokens);
             lease.expiresAtMs = Math.max(lease.expiresAtMs, grant.expiresAtMs);
             lease.renewedAtMs = host.clock.nowMs();
@@ -388,7 +413,7 @@
         }
         while (retired.size > 0 && host.clock.nowMs() < deadlineMs) {
             await renewDue().catch(() => undefined);
-            if (retired.size > 0) await sleep(host.timers, starvingRetryMs);
+            if (retired.size > 0) await sleep(host.timers, closeRetryMs);
         }
         return retired.size === 0;
     }
--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt from reservation to settlement. */
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Dispatch, Frame } from "../../kernel/messages.js";
+import { withTimeout } from "../../kernel/tasks.js";
 import { createVerdict, refuse } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
 import type { AnswerWriter } from "../answers.js";
@@ -29,6 +30,7 @@
 const stallFactor = 5;
 const maxUnreachableMs = 5_000;
 const controlRetryMs = 1_000;
+const countTimeoutMs = 300;
 
 /** Runs one attempt. Refusals that are certain are thrown as verdicts. */
 export async function runAttempt(delivery: DeliveryHost, request: AttemptRequest): Promise<AttemptResult> {
@@ -65,13 +67,15 @@
     const account = checkDefined(exchange.clientAccount, "the request is authenticated");
     const budget = delivery.configuration.getObjects().get("budget", account.budget);
     const policy = budget === undefined ? undefined : delivery.configuration.getObjects().get("policy", budget.policy);
+    const wanted = { budget: account.budget, weighsMore: policy?.weighsMore ?? "overspend", deadlineMs: exchange.deadlineMs };
+    const boundTokens = work.promptTokensBound + work.maxCompletionTokens;
     try {
-        return await delivery.leases.reserve({
-            budget: account.budget,
-            weighsMore: policy?.weighsMore ?? "overspend",
-            tokens: work.promptTokensBound + work.maxCompletionTokens,
-            deadlineMs: exchange.deadlineMs,
-        });
+        const reservation = delivery.leases.tryReserve({ ...wanted, tokens: boundTokens });
+        if (reservation !== undefined) return reservation;
+        // Tokens are short here, so the engine's own count takes the place of the bound by bytes.
+        const promptTokens = await countPromptTokens(delivery, exchange, attempt);
+        const tokens = Math.min(boundTokens, (promptTokens ?? Infinity) + work.maxCompletionTokens);
+        return await delivery.leases.reserve({ ...wanted, tokens });
     }
     catch (error) {
         settleNotRun(delivery, attempt);
@@ -79,6 +83,13 @@
     }
 }
 
+async function countPromptTokens(delivery: DeliveryHost, exchange: Exchange, attempt: Attempt): Promise<number | undefined> {
+    const body = Buffer.from(exchange.request.body).toString("utf8");
+    const call = delivery.agents.get(attempt.place.address).countTokens.mutate({ body });
+    const counted = withTimeout(delivery.host.timers, call, countTimeoutMs, "count");
+    return counted.then(reply => reply.promptTokens, () => undefined);
+}
+
 async function dispatch(delivery: DeliveryHost, request: AttemptRequest, attempt: Attempt): Promise<AttemptResult> {
     const { exchange, choice } = request;
     const nowMs = delivery.host.clock.nowMs();
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -160,6 +160,8 @@
     closeLeases(request: { readonly incarnation: string; readonly leaseIds: readonly string[]; }): Promise<CloseLeasesReply>;
     /** Stops an attempt that nobody waits for any more. */
     cancel(request: CancelRequest): Promise<CancelReply>;
+    /** Prompt tokens of a chat request as the engine counts them. Undefined where it cannot say. */
+    countTokens(request: { readonly body: string }): Promise<{ readonly promptTokens?: number }>;
 }
 
 /** Answer to the closing of leases. */
@@ -181,6 +183,7 @@
         closeLeases: rpc.procedure
             .input(z.object({ incarnation: name, leaseIds: z.array(name).max(10_000) }))
             .mutation(({ input }) => api.closeLeases(input)),
+        countTokens: rpc.procedure.input(z.object({ body: z.string() })).mutation(({ input }) => api.countTokens(input)),
         cancel: rpc.procedure.input(cancelSchema).mutation(({ input }) => api.cancel(input)),
     });
 }
--- a/src/standins/modelEngine.ts
+++ b/src/standins/modelEngine.ts
@@ -146,6 +146,7 @@
             if (isDown) return response.abort();
             const path = request.path.split("?", 1)[0];
             if (path === "/v1/chat/completions" && request.method === "POST") return complete(request, response);
+            if (path === "/tokenize" && request.method === "POST") return sendJson(response, 200, { count: countTokens(request) });
             if (path === "/load") return sendJson(response, 200, getLaggedLoad());
             if (path === "/cache-events") return sendJson(response, 200, takeCacheEvents(request.path));
             if (path === "/orders" && request.method === "POST") return onOrder(request, response);
@@ -155,6 +156,11 @@
         },
     };
 
+    function countTokens(request: HttpRequest): number {
+        const { messages } = JSON.parse(Buffer.from(request.body).toString("utf8")) as { messages: { content?: unknown }[] };
+        return countPromptTokens(messages);
+    }
+
     function getQueuedWorkMs(): number {
         const prefillMs = [...queue, ...running].reduce((sum, sequence) => sum + sequence.prefillLeftMs, 0);
         const waiting = Math.max(0, queue.length + running.length + 1 - options.maxConcurrent);
