--- a/src/agent/adapters/modelEngine.ts
+++ b/src/agent/adapters/modelEngine.ts
@@ -66,7 +66,7 @@
             return { ...load, isHealthy: true, learnedAtMs: host.clock.nowMs(), cacheAdded: cache.added, cacheRemoved: cache.removed };
         },
         async countPromptTokens(body) {
-            const { model, messages } = JSON.parse(body) as { model: unknown; messages: unknown };
+            const { model, messages } = JSON.parse(body) as { model: unknown; messages: unknown; };
             const reply = await host.network.request(address, {
                 method: "POST",
                 path: "/tokenize",
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -138,6 +138,11 @@
         }).catch((error: unknown): RunOutcome => ({ kind: "broken", detail: String(error) }));
         cancelDeadline();
         if (isHalted) return;
+        await end(run, dispatch.isTight ? refuseCapped(dispatch, outcome) : outcome);
+    }
+
+    async function end(run: Run, outcome: RunOutcome): Promise<void> {
+        const { stream } = run;
         settle(run, outcome);
         if (outcome.kind === "finished") await stream.push({ kind: "end", ...outcome.usage });
         else await stream.push({ kind: "failed", verdict: toVerdict(outcome) });
@@ -163,6 +168,12 @@
     }
 }
 
+// The budget covered less than the caller asked for, and the answer would have been longer.
+function refuseCapped(dispatch: Dispatch, outcome: RunOutcome): RunOutcome {
+    const isCapped = outcome.kind === "finished" && outcome.usage.completionTokens >= dispatch.maxCompletionTokens;
+    return isCapped ? { kind: "capped" } : outcome;
+}
+
 function dropOldest(ids: Set<string>, maxIds: number): void {
     for (const id of ids) {
         if (ids.size <= maxIds) return;
@@ -185,6 +196,8 @@
             return createVerdict("notRun", "backendServerRefused", outcome.detail);
         case "broken":
             return createVerdict("mayHaveRun", "backendServerCrashed");
+        case "capped":
+            return createVerdict("mayHaveRun", "budgetExhausted", "The answer would have been longer than the rest of the budget covers.");
         case "stopped":
             return createVerdict("mayHaveRun", "deadlineExceeded", "The request was stopped before it finished.");
     }
--- a/src/agent/types.ts
+++ b/src/agent/types.ts
@@ -30,7 +30,9 @@
     | { readonly kind: "refused"; readonly detail: string; }
     /** The connection broke. The backend server may have crashed. */
     | { readonly kind: "broken"; readonly detail: string; }
-    | { readonly kind: "stopped"; readonly usage: TokenUsage; };
+    | { readonly kind: "stopped"; readonly usage: TokenUsage; }
+    /** The answer reached a cap below what its caller asked for, so it is not whole. */
+    | { readonly kind: "capped"; };
 
 /** The way to one kind of backend server. */
 export interface EngineAdapter {
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -33,6 +33,28 @@
     return factories[format](exchange);
 }
 
+/** Wraps a writer so that the caller sees nothing before the answer has come to its end. */
+export function createWholeOnlyWriter(writer: AnswerWriter): AnswerWriter {
+    let held: string[] = [];
+    return {
+        get hasStarted() {
+            return writer.hasStarted;
+        },
+        restart() {
+            held = [];
+        },
+        head: frame => writer.head(frame),
+        async chunk(data) {
+            held.push(data);
+        },
+        async finish(frame) {
+            for (const data of held) await writer.chunk(data);
+            await writer.finish(frame);
+        },
+        fail: verdict => writer.fail(verdict),
+    };
+}
+
 /** Answers with a problem, in the format of RFC 9457. */
 export async function sendProblem(response: HttpResponse, requestId: string, verdict: Verdict): Promise<void> {
     if (response.hasStarted) return response.abort();
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -98,7 +98,7 @@
     /** False when the last renewal asked for tokens and got none. */
     hasGrown: boolean;
     /** Control's last word that a request of this size cannot be covered. */
-    exhausted: { readonly tokens: number; readonly saidAtMs: number } | undefined;
+    exhausted: { readonly tokens: number; readonly saidAtMs: number; } | undefined;
 }
 
 const renewTimeoutMs = 1_500;
@@ -107,11 +107,11 @@
 const closeRetryMs = 50;
 const tickMs = 250;
 /** Pause between two renewals by which a lease that is nearly empty asks for more, by whether the last one gave any. */
-const refillPauseMs = { given: 1_000, refused: 8_000 } as const;
+const refillPauseMs = { given: 1_000, refused: 10_000 } as const;
 /** How long control's word that a budget is exhausted stands for requests of the same size or larger. */
 const exhaustedStandsMs = 500;
 /** A settlement waits for others, a short while after a quiet time and longer in a steady stream. */
-const settleDelayMs = { quiet: 1_000, steady: 8_000 } as const;
+const settleDelayMs = { quiet: 1_000, steady: 10_000 } as const;
 /** A lease is renewed after this share of its length. */
 const renewShare = 0.25;
 const retryAfterMs = 2_000;
@@ -236,7 +236,9 @@
     // A refusal as exhausted needs control's word, given after this request began to wait.
     function isHopeless(lease: HeldLease, isFirstTry: boolean, tokens: number): boolean {
         const { exhausted } = lease;
-        if (exhausted !== undefined && tokens >= exhausted.tokens && host.clock.nowMs() - exhausted.saidAtMs < exhaustedStandsMs) return true;
+        if (exhausted !== undefined && tokens >= exhausted.tokens && host.clock.nowMs() - exhausted.saidAtMs < exhaustedStandsMs) {
+            return true;
+        }
         return !isFirstTry && lease.isUnknown;
     }
 
@@ -310,6 +312,11 @@
         return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + (lease.hasGrown ? refillPauseMs.given : refillPauseMs.refused);
     }
 
+    // What falls due before long goes along with what is due now.
+    function isAging(lease: HeldLease, nowMs: number): boolean {
+        return nowMs - lease.renewedAtMs > (lease.renewAtMs - lease.renewedAtMs) / 2;
+    }
+
     function isLow(lease: HeldLease, nowMs: number): boolean {
         return !retired.has(lease) && getAvailable(lease) < lease.demand.getUrgentTokens(nowMs);
     }
@@ -323,7 +330,9 @@
     async function renewDue(): Promise<void> {
         const nowMs = host.clock.nowMs();
         for (const lease of leases.values()) giveBackExcess(lease, nowMs);
-        const due = listAll().filter(lease => lease.waiting.size > 0 || lease.changedAtMs !== undefined || isDue(lease, nowMs));
+        const due = listAll().filter(lease =>
+            lease.waiting.size > 0 || lease.changedAtMs !== undefined || isDue(lease, nowMs) || isAging(lease, nowMs)
+        );
         if (due.length === 0) return;
         lastRenewalMs = nowMs;
         const renewals = due.map(lease => createRenewal(lease, nowMs));
--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -2,11 +2,12 @@
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Dispatch, Frame } from "../../kernel/messages.js";
 import { withTimeout } from "../../kernel/tasks.js";
-import { createVerdict, refuse } from "../../kernel/verdict.js";
+import { createVerdict, refuse, VerdictError } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
+import { createWholeOnlyWriter } from "../answers.js";
 import type { AnswerWriter } from "../answers.js";
 import { AnswerLostError, CrossedAnswerError, followAttempt, sendDispatch } from "../attemptStream.js";
-import type { DispatchOutcome } from "../attemptStream.js";
+import type { AttemptPlace, DispatchOutcome } from "../attemptStream.js";
 import type { Reservation } from "../budgets/leaseBook.js";
 import type { Choice, RouteRequest } from "../routing/types.js";
 import type { Exchange, Work } from "../types.js";
@@ -42,7 +43,14 @@
         requestId: `${exchange.requestId}.${request.number}`,
     };
     const claim = getClaim(exchange, work);
-    const common = { place, backendServer: choice.backendServer, claim, isIdempotent: work.isIdempotent };
+    const common: Attempt = {
+        place,
+        backendServer: choice.backendServer,
+        claim,
+        isIdempotent: work.isIdempotent,
+        maxCompletionTokens: work.maxCompletionTokens,
+        isTight: false,
+    };
     if (claim !== undefined) {
         const opened = await openClaim(delivery, exchange, place, request.replacesRequestId);
         if (opened.kind === "conflict") refuse("keyConflict");
@@ -53,8 +61,14 @@
             refuse("controlUnavailable", undefined, controlRetryMs);
         }
     }
-    const reservation = await tryReserve(delivery, exchange, work, common);
-    return dispatch(delivery, request, { ...common, reservation });
+    const covered = await cover(delivery, exchange, work, place).catch((error: unknown) => {
+        settleNotRun(delivery, common);
+        throw error;
+    });
+    return dispatch(delivery, covered.isTight ? { ...request, writer: createWholeOnlyWriter(request.writer) } : request, {
+        ...common,
+        ...covered,
+    });
 }
 
 function getClaim(exchange: Exchange, work: Work): Attempt["claim"] {
@@ -62,30 +76,48 @@
     return { clientAccount: checkDefined(exchange.clientAccount, "the request is authenticated").name, key: work.idempotencyKey };
 }
 
-async function tryReserve(delivery: DeliveryHost, exchange: Exchange, work: Work, attempt: Attempt): Promise<Reservation | undefined> {
-    if (work.format === "raw") return undefined;
+/** Tokens set aside, and the cap on the answer that they allow. */
+interface Cover {
+    readonly reservation?: Reservation;
+    readonly maxCompletionTokens: number;
+    readonly isTight: boolean;
+}
+
+async function cover(delivery: DeliveryHost, exchange: Exchange, work: Work, place: AttemptPlace): Promise<Cover> {
+    const { maxCompletionTokens } = work;
+    if (work.format === "raw") return { maxCompletionTokens, isTight: false };
     const account = checkDefined(exchange.clientAccount, "the request is authenticated");
-    const budget = delivery.configuration.getObjects().get("budget", account.budget);
-    const policy = budget === undefined ? undefined : delivery.configuration.getObjects().get("policy", budget.policy);
-    const wanted = { budget: account.budget, weighsMore: policy?.weighsMore ?? "overspend", deadlineMs: exchange.deadlineMs };
-    const boundTokens = work.promptTokensBound + work.maxCompletionTokens;
+    const objects = delivery.configuration.getObjects();
+    const budget = objects.get("budget", account.budget);
+    const weighsMore = (budget === undefined ? undefined : objects.get("policy", budget.policy))?.weighsMore ?? "overspend";
+    const wanted = { budget: account.budget, weighsMore, deadlineMs: exchange.deadlineMs };
+    const boundTokens = work.promptTokensBound + maxCompletionTokens;
+    const held = delivery.leases.tryReserve({ ...wanted, tokens: boundTokens });
+    if (held !== undefined) return { reservation: held, maxCompletionTokens, isTight: false };
+    // Tokens are short here, so the engine's own count takes the place of the bound by bytes.
+    const counted = await countPromptTokens(delivery, exchange, place);
+    const promptTokens = Math.min(counted ?? Infinity, work.promptTokensBound);
     try {
-        const reservation = delivery.leases.tryReserve({ ...wanted, tokens: boundTokens });
-        if (reservation !== undefined) return reservation;
-        // Tokens are short here, so the engine's own count takes the place of the bound by bytes.
-        const promptTokens = await countPromptTokens(delivery, exchange, attempt);
-        const tokens = Math.min(boundTokens, (promptTokens ?? Infinity) + work.maxCompletionTokens);
-        return await delivery.leases.reserve({ ...wanted, tokens });
+        const reservation = await delivery.leases.reserve({ ...wanted, tokens: promptTokens + maxCompletionTokens });
+        return { reservation, maxCompletionTokens, isTight: false };
     }
     catch (error) {
-        settleNotRun(delivery, attempt);
-        throw error;
+        const tightTokens = delivery.statistics.getUsualCompletionTokens(account.name);
+        const canTry = weighsMore === "falseRefusals" && work.isIdempotent && counted !== undefined;
+        if (!canTry || tightTokens >= maxCompletionTokens || !isExhausted(error)) throw error;
+        // The whole request does not fit, but its usual answer may. It is shown only if it ends by itself.
+        const reservation = await delivery.leases.reserve({ ...wanted, tokens: promptTokens + tightTokens });
+        return { reservation, maxCompletionTokens: tightTokens, isTight: true };
     }
 }
 
-async function countPromptTokens(delivery: DeliveryHost, exchange: Exchange, attempt: Attempt): Promise<number | undefined> {
+function isExhausted(error: unknown): boolean {
+    return error instanceof VerdictError && error.verdict.code === "budgetExhausted";
+}
+
+async function countPromptTokens(delivery: DeliveryHost, exchange: Exchange, place: AttemptPlace): Promise<number | undefined> {
     const body = Buffer.from(exchange.request.body).toString("utf8");
-    const call = delivery.agents.get(attempt.place.address).countTokens.mutate({ body });
+    const call = delivery.agents.get(place.address).countTokens.mutate({ body });
     const counted = withTimeout(delivery.host.timers, call, countTimeoutMs, "count");
     return counted.then(reply => reply.promptTokens, () => undefined);
 }
@@ -140,7 +172,8 @@
             reservedTokens: reservation.reservedTokens,
             expiresAtMs: reservation.expiresAtMs,
         },
-        maxCompletionTokens: work.maxCompletionTokens,
+        maxCompletionTokens: attempt.maxCompletionTokens,
+        isTight: attempt.isTight,
     };
 }
 
@@ -214,6 +247,7 @@
             return undefined;
         case "end":
             delivery.router.noteOutcome(attempt.backendServer, "good", firstTokenMs, nowMs);
+            noteCompletion(delivery, exchange, frame.completionTokens);
             await settleFinished(delivery, attempt, frame);
             if (exchange.isSolo) reportFinishedSolo(delivery, exchange);
             await writer.finish(frame);
@@ -223,6 +257,11 @@
     }
 }
 
+function noteCompletion(delivery: DeliveryHost, exchange: Exchange, completionTokens: number): void {
+    if (completionTokens === 0) return;
+    delivery.statistics.noteCompletion(checkDefined(exchange.clientAccount, "the request is authenticated").name, completionTokens);
+}
+
 async function onFailed(delivery: DeliveryHost, request: AttemptRequest, attempt: Attempt, verdict: Verdict): Promise<AttemptResult> {
     const { writer, exchange } = request;
     if (verdict.kind === "notRun") return refuseAttempt(delivery, attempt, verdict);
@@ -239,7 +278,7 @@
     delivery.router.noteOutcome(attempt.backendServer, "failed", undefined, delivery.host.clock.nowMs());
     if (error.reason === "unknownRequest" && !writer.hasStarted) {
         // The dispatch may never have arrived. If so, the agent now promises that it never starts.
-        const reply = await cancelAttempt(delivery, attempt, false);
+        const reply = await cancelAttempt(delivery, attempt.place, false);
         if (reply?.state === "unknown") return refuseAttempt(delivery, attempt, createVerdict("notRun", "noBackendServer"));
     }
     const verdict = createVerdict("mayHaveRun", "outcomeUnknown");
--- a/src/entry/delivery/settlement.ts
+++ b/src/entry/delivery/settlement.ts
@@ -6,6 +6,7 @@
 import { sleep, withTimeout } from "../../kernel/tasks.js";
 import { getBilledTokens } from "../../kernel/types.js";
 import type { TokenUsage } from "../../kernel/types.js";
+import type { AttemptPlace } from "../attemptStream.js";
 import type { Attempt, DeliveryHost } from "./types.js";
 
 /** Time that the last piece of an answer waits for its bill to be durable. */
@@ -37,7 +38,7 @@
         const outcome = await delivery.control.submit("claims.finish", input, { timeoutMs: finishTimeoutMs, operationId });
         if (outcome.kind === "done") {
             attempt.reservation?.settle(place.incarnation, outcome.result.isBilled ? billedTokens : 0);
-            delivery.leases.forceRenewal();
+            if (attempt.reservation !== undefined) delivery.leases.forceRenewal();
             return;
         }
         await sleep(delivery.host.timers, retryMs);
@@ -65,8 +66,8 @@
 const maxReleaseTries = 600;
 
 /** Asks an agent to stop an attempt. Undefined when it cannot be reached. */
-export async function cancelAttempt(delivery: DeliveryHost, attempt: Attempt, isBilled: boolean): Promise<CancelReply | undefined> {
-    const call = delivery.agents.get(attempt.place.address).cancel.mutate({ requestId: attempt.place.requestId, isBilled });
+export async function cancelAttempt(delivery: DeliveryHost, place: AttemptPlace, isBilled: boolean): Promise<CancelReply | undefined> {
+    const call = delivery.agents.get(place.address).cancel.mutate({ requestId: place.requestId, isBilled });
     return withTimeout(delivery.host.timers, call as Promise<CancelReply>, cancelTimeoutMs, "cancel").catch(() => undefined);
 }
 
@@ -77,7 +78,7 @@
 export async function settleAbandoned(delivery: DeliveryHost, attempt: Attempt, isBilled: boolean): Promise<void> {
     const sinceMs = delivery.host.clock.nowMs();
     for (;;) {
-        const reply = await cancelAttempt(delivery, attempt, isBilled);
+        const reply = await cancelAttempt(delivery, attempt.place, isBilled);
         if (reply !== undefined) {
             const billedTokens = reply.state === "unknown" ? 0 : Math.min(reply.billedTokens, attempt.reservation?.reservedTokens ?? 0);
             return billAbandoned(delivery, attempt, isBilled ? billedTokens : 0);
--- a/src/entry/delivery/types.ts
+++ b/src/entry/delivery/types.ts
@@ -40,6 +40,10 @@
     /** Set where the request has an idempotency key. */
     readonly claim?: { readonly clientAccount: string; readonly key: string; };
     readonly isIdempotent: boolean;
+    /** Cap on the answer. Below what the caller asked where the budget could not cover that. */
+    readonly maxCompletionTokens: number;
+    /** True when an answer that reaches the cap is not whole, so that nothing is shown before its end. */
+    readonly isTight: boolean;
 }
 
 /** How an attempt ended. */
--- a/src/entry/statistics.ts
+++ b/src/entry/statistics.ts
@@ -11,6 +11,9 @@
     noteRetry(): void;
     noteRefusal(code: MessageCode): void;
     noteAnswered(serviceClass: ServiceClass, durationMs: number): void;
+    noteCompletion(clientAccount: string, completionTokens: number): void;
+    /** Length that most answers of a client account stay under. */
+    getUsualCompletionTokens(clientAccount: string): number;
     read(): EntryCounts;
 }
 
@@ -23,12 +26,18 @@
     readonly answered: Readonly<Record<ServiceClass, Histogram>>;
 }
 
+const completionGain = 0.1;
+/** Relative to the mean, so that most answers fit. */
+const usualFactor = 1.4;
+const initialCompletionTokens = 32;
+const maxAccounts = 20_000;
 const microsecondsPerMs = 1_000;
 
 /** Creates empty statistics. Latencies are recorded in microseconds. */
 export function createEntryStatistics(): EntryStatistics {
     const refusals: Record<string, number> = {};
     const answered = { interactive: createHistogram(), batch: createHistogram() };
+    const meanCompletions = new Map<string, number>();
     let requests = 0;
     let dispatches = 0;
     let retries = 0;
@@ -40,6 +49,13 @@
             refusals[code] = (refusals[code] ?? 0) + 1;
         },
         noteAnswered: (serviceClass, durationMs) => answered[serviceClass].recordValue(Math.round(durationMs * microsecondsPerMs)),
+        noteCompletion(clientAccount, completionTokens) {
+            const mean = meanCompletions.get(clientAccount) ?? initialCompletionTokens;
+            meanCompletions.delete(clientAccount);
+            meanCompletions.set(clientAccount, mean + (completionTokens - mean) * completionGain);
+            if (meanCompletions.size > maxAccounts) meanCompletions.delete(meanCompletions.keys().next().value!);
+        },
+        getUsualCompletionTokens: clientAccount => Math.ceil((meanCompletions.get(clientAccount) ?? initialCompletionTokens) * usualFactor),
         read: () => ({ requests, dispatches, retries, refusals, answered }),
     };
 }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -161,7 +161,7 @@
     /** Stops an attempt that nobody waits for any more. */
     cancel(request: CancelRequest): Promise<CancelReply>;
     /** Prompt tokens of a chat request as the engine counts them. Undefined where it cannot say. */
-    countTokens(request: { readonly body: string }): Promise<{ readonly promptTokens?: number }>;
+    countTokens(request: { readonly body: string; }): Promise<{ readonly promptTokens?: number; }>;
 }
 
 /** Answer to the closing of leases. */
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -365,6 +365,8 @@
     /** Absent for plain services, which cost no tokens. */
     lease: z.object({ leaseId: name, reservedTokens: tokens, expiresAtMs: timeMs }).readonly().optional(),
     maxCompletionTokens: tokens,
+    /** True when an answer that reaches the cap is not whole, and so is neither given nor billed. */
+    isTight: z.boolean(),
 }).readonly();
 /** What an entry sends to an agent with a request. */
 export type Dispatch = z.infer<typeof dispatchSchema>;
--- a/src/standins/modelEngine.ts
+++ b/src/standins/modelEngine.ts
@@ -157,7 +157,7 @@
     };
 
     function countTokens(request: HttpRequest): number {
-        const { messages } = JSON.parse(Buffer.from(request.body).toString("utf8")) as { messages: { content?: unknown }[] };
+        const { messages } = JSON.parse(Buffer.from(request.body).toString("utf8")) as { messages: { content?: unknown; }[]; };
         return countPromptTokens(messages);
     }
 
