Add the load and experiment tool

npm run load drives real entries and agents over stand-in engines on virtual time, with arrivals that are the same for every policy, against random, round robin, least reported, prefix only and an omniscient least-work choice.

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -13,6 +13,7 @@
     readonly isStreamed?: boolean;
     readonly idempotencyKey?: string;
     readonly timeoutMs?: number;
+    readonly model?: string;
 }
 
 /** What a caller saw. */
@@ -35,7 +36,7 @@
 export async function sendChat(host: Host, address: string, request: CallerRequest): Promise<CallerRecord> {
     const startedAtMs = host.clock.nowMs();
     const body = {
-        model: "lovage-pool",
+        model: request.model ?? "lovage-pool",
         messages: [{ role: "user", content: request.prompt }],
         max_tokens: request.maxTokens,
         stream: request.isStreamed === true,
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -231,7 +231,7 @@
             backendServerAddress: `${ip}:9000`,
             kind: isEngine ? "modelEngine" : "plainService",
             pool: isEngine ? "lovage-pool" : "shopdesk",
-            models: isEngine ? ["lovage-pool"] : [],
+            models: isEngine ? ["lovage-pool", "lovage-pool-batch"] : [],
             adapters: [],
             checksFencing: true,
             maxConcurrent: options.engine?.maxConcurrent ?? 8,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -33,6 +33,7 @@
     readonly identity: ProcessIdentity;
     readonly control: ControlClient;
     readonly routingPolicy?: RoutingPolicy;
+    readonly chooseOverride?: () => string | undefined;
     readonly budgetPreferences?: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>>;
     /** In place of the lease book, for baselines in measurements. */
     readonly createLeases?: (host: Host) => LeaseBook;
@@ -68,7 +69,7 @@
     const log = host.createLogger("entry");
     const stopping = new AbortController();
     const statistics = createEntryStatistics();
-    const routing = createRouter(host, { policy: options.routingPolicy });
+    const routing = createRouter(host, { policy: options.routingPolicy, chooseOverride: options.chooseOverride });
     const leases = options.createLeases?.(host) ?? createLeaseBook(host, {
         vm: identity.vm,
         incarnation: identity.incarnation,
--- a/src/entry/routing/router.ts
+++ b/src/entry/routing/router.ts
@@ -37,6 +37,8 @@
 export interface RouterOptions {
     readonly policy?: RoutingPolicy;
     readonly sampleSize?: number;
+    /** Name of the backend server to take, for comparisons with a choice that sees everything. */
+    readonly chooseOverride?: () => BackendServerName | undefined;
 }
 
 interface Server {
@@ -92,7 +94,8 @@
                 ? servers
                 : servers.filter(server => isUsable(server, request, nowMs));
             if (usable.length === 0) return undefined;
-            const server = chooser(usable, request, nowMs);
+            const forced = options.chooseOverride?.();
+            const server = forced === undefined ? chooser(usable, request, nowMs) : byName.get(forced);
             if (server === undefined) return undefined;
             const { agent } = server.candidate;
             return {
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -78,11 +78,16 @@
 const blockedPollMs = 50;
 const defaultFaults: NetworkFaults = { lossShare: 0, duplicationShare: 0, minDelayMs: 0.3, maxDelayMs: 1.5 };
 
+/** Creates a seeded source of numbers in [0, 1). */
+export function createRandom(seed: number): () => number {
+    const generator = xoroshiro128plus(seed);
+    return () => uniformFloat64(generator);
+}
+
 /** Creates a world without VMs. */
 export function createFakeWorld(seed: number): FakeWorld {
     setMaxListeners(0);
-    const generator = xoroshiro128plus(seed);
-    const random = () => uniformFloat64(generator);
+    const random = createRandom(seed);
     const timers = createTimerHeap();
     const services = new Map<string, Service>();
     const logLines: string[] = [];
--- a/src/standins/modelEngine.ts
+++ b/src/standins/modelEngine.ts
@@ -63,7 +63,8 @@
     getCrashCount(): number;
     /** Accepts requests and never answers, while true. */
     setGrey(isGrey: boolean): void;
-    getQueuedWorkMs(): number;
+    /** Time that one sequence after another would need for all that is here. */
+    getOutstandingWorkMs(): number;
 }
 
 /** Text in a prompt that crashes the engine. */
@@ -141,7 +142,7 @@
         setGrey(value) {
             isGrey = value;
         },
-        getQueuedWorkMs,
+        getOutstandingWorkMs,
         async handle(request, response) {
             if (isDown) return response.abort();
             const path = request.path.split("?", 1)[0];
@@ -161,10 +162,10 @@
         return countPromptTokens(messages);
     }
 
-    function getQueuedWorkMs(): number {
-        const prefillMs = [...queue, ...running].reduce((sum, sequence) => sum + sequence.prefillLeftMs, 0);
-        const waiting = Math.max(0, queue.length + running.length + 1 - options.maxConcurrent);
-        return prefillMs + waiting * options.stepMs * answerTokensRange / options.maxConcurrent;
+    function getOutstandingWorkMs(): number {
+        const decodeMs = (sequence: Sequence) => (sequence.answerTokens - sequence.sentTokens) * options.stepMs / options.maxConcurrent;
+        const waitingMs = queue.reduce((sum, sequence) => sum + sequence.promptTokens / options.prefillTokensPerSecond * 1_000 + decodeMs(sequence), 0);
+        return running.reduce((sum, sequence) => sum + sequence.prefillLeftMs + decodeMs(sequence), waitingMs);
     }
 
     async function complete(request: HttpRequest, response: HttpResponse): Promise<void> {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -51,7 +51,7 @@
     /** Address for the fleet's own calls. */
     readonly fleetListen: Address;
     readonly tls?: TlsFiles;
-    readonly overrides?: Partial<Pick<EntryOptions, "routingPolicy" | "budgetPreferences" | "createLeases">>;
+    readonly overrides?: Partial<Pick<EntryOptions, "routingPolicy" | "chooseOverride" | "budgetPreferences" | "createLeases">>;
 }
 
 /** Settings of an agent. */
