--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -110,8 +110,9 @@
 const refillPauseMs = { given: 1_000, refused: 10_000 } as const;
 /** How long control's word that a budget is exhausted stands for requests of the same size or larger. */
 const exhaustedStandsMs = 500;
-/** A settlement waits for others, a short while after a quiet time and longer in a steady stream. */
+/** A settlement waits for others: a short while after a quiet time, and twice as long after each renewal in a steady stream. */
 const settleDelayMs = { quiet: 1_000, steady: 10_000 } as const;
+const quietAfterMs = 20_000;
 /** A lease is renewed after this share of its length. */
 const renewShare = 0.25;
 const retryAfterMs = 2_000;
@@ -135,6 +136,7 @@
     let lastControlTimeMs = 0;
     let isRenewalForced = false;
     let lastRenewalMs = -Infinity;
+    let settlePauseMs: number = settleDelayMs.quiet;
 
     return {
         reserve,
@@ -307,7 +309,7 @@
 
     function isDue(lease: HeldLease, nowMs: number): boolean {
         if (nowMs >= lease.renewAtMs || shouldClose(lease, nowMs)) return true;
-        const settleAtMs = Math.max(lastRenewalMs + settleDelayMs.steady, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
+        const settleAtMs = Math.max(lastRenewalMs + settlePauseMs, (lease.changedAtMs ?? Infinity) + settleDelayMs.quiet);
         if (lease.changedAtMs !== undefined && nowMs >= settleAtMs) return true;
         return isLow(lease, nowMs) && nowMs >= lease.renewedAtMs + (lease.hasGrown ? refillPauseMs.given : refillPauseMs.refused);
     }
@@ -334,6 +336,8 @@
             lease.waiting.size > 0 || lease.changedAtMs !== undefined || isDue(lease, nowMs) || isAging(lease, nowMs)
         );
         if (due.length === 0) return;
+        const isQuiet = nowMs - lastRenewalMs > quietAfterMs;
+        settlePauseMs = isQuiet ? settleDelayMs.quiet : Math.min(settleDelayMs.steady, settlePauseMs * 2);
         lastRenewalMs = nowMs;
         const renewals = due.map(lease => createRenewal(lease, nowMs));
         const { vm, incarnation } = options;
