Do not set the default listener limit; test the parts on real sockets

Change: only the signals that stop a whole part have no limit. A listener that closes lets kept-alive connections go, and cuts long polls after 0.5 s. A test now runs control, entry, agent and an operator's client on real sockets, with strangers, oversize and broken bodies.

--- a/bench/loadRun.ts
+++ b/bench/loadRun.ts
@@ -257,7 +257,9 @@
         if (options.greyAtMs === undefined) return 0;
         const greySecond = Math.floor(options.greyAtMs / 1_000);
         const getP95 = (second: number) => {
-            const seen = Array.from({ length: windowSeconds }, (_, offset) => perSecond.get(second + offset) ?? []).flat().sort((x, y) => x - y);
+            const seen = Array.from({ length: windowSeconds }, (_, offset) => perSecond.get(second + offset) ?? []).flat().sort((x, y) =>
+                x - y
+            );
             return seen[Math.floor(seen.length * 0.95)] ?? 0;
         };
         // Cold long prompts make some windows slow at any time, so the slowest one before the fault is normal too.
--- /dev/null
+++ b/bench/measureCost.ts
@@ -0,0 +1,77 @@
+/** Costs of single steps: processor time, heap and straight-line fits over sizes. */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+/** A straight line through measured points: y = intercept + slope * x. */
+export interface LineFit {
+    readonly slope: number;
+    readonly intercept: number;
+    /** Largest distance of a point from the line, relative to the largest value. */
+    readonly worstError: number;
+    readonly points: readonly (readonly [number, number])[];
+}
+
+const microsecondsPerMs = 1_000;
+
+/** Processor time of a piece of work, in microseconds. The best of some tries, because others share the machine. */
+export async function measureCpuMicros(work: () => unknown, tries = 5): Promise<number> {
+    let best = Infinity;
+    for (let count = 0; count < tries; count++) {
+        const before = process.cpuUsage();
+        await work();
+        const used = process.cpuUsage(before);
+        best = Math.min(best, used.user + used.system);
+    }
+    return best;
+}
+
+/** Wall time of a piece of work, in milliseconds. */
+export async function measureMs(work: () => unknown): Promise<number> {
+    const startedMs = performance.now();
+    await work();
+    return performance.now() - startedMs;
+}
+
+/** Heap that what is built holds on to, in bytes. */
+export function measureHeapBytes(create: () => unknown): number {
+    collect();
+    const before = process.memoryUsage().heapUsed;
+    const held = create();
+    collect();
+    const after = process.memoryUsage().heapUsed;
+    // What was built must still be reachable here, or it would not be counted.
+    return held === undefined ? 0 : after - before;
+}
+
+function collect(): void {
+    setFlagsFromString("--expose-gc");
+    const gc = runInNewContext("gc") as () => void;
+    gc();
+    gc();
+}
+
+/** Fits a line by least squares. */
+export function fitLine(points: readonly (readonly [number, number])[]): LineFit {
+    const count = points.length;
+    const meanX = points.reduce((sum, [x]) => sum + x, 0) / count;
+    const meanY = points.reduce((sum, [, y]) => sum + y, 0) / count;
+    const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+    const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+    const slope = covariance / variance;
+    const intercept = meanY - slope * meanX;
+    const largest = Math.max(...points.map(([, y]) => Math.abs(y)));
+    const worstError = Math.max(...points.map(([x, y]) => Math.abs(y - intercept - slope * x))) / largest;
+    return { slope, intercept, worstError, points };
+}
+
+/** Measures a cost at several sizes and fits a line. */
+export async function measureSlope(sizes: readonly number[], measure: (size: number) => Promise<number> | number): Promise<LineFit> {
+    const points: [number, number][] = [];
+    for (const size of sizes) points.push([size, await measure(size)]);
+    return fitLine(points);
+}
+
+/** Milliseconds of microseconds. */
+export function toMs(micros: number): number {
+    return micros / microsecondsPerMs;
+}
--- /dev/null
+++ b/bench/overheadBench.ts
@@ -0,0 +1,116 @@
+/** What the way through entry and agent adds to a direct call of the same stand-in engine, in one run. */
+import { build } from "hdr-histogram-js";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Host } from "../src/kernel/host.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
+import { readAll, sleep } from "../src/kernel/tasks.js";
+import { createModelEngine } from "../src/standins/modelEngine.js";
+import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
+import { createSet, getKey } from "./fleet.js";
+
+const requests = 600;
+const concurrency = 8;
+const quiet = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
+
+/** Latency quantiles and rates of both ways, and their ratios. */
+export async function measureOverhead() {
+    const host = createNodeHost({ fleetSecret: "bench", createLogger: quiet });
+    const folder = await mkdtemp(join(tmpdir(), "lovage-overhead-"));
+    const engine = createModelEngine(host, { stepMs: 2, stepMsPerSequence: 0, maxConcurrent: 16 });
+    const engineListener = await host.network.serve({ address: "127.0.0.1:0", handler: engine.handle, maxBodyBytes: 1e7 });
+    const entryAddress = await startPath(host, folder, engineListener.address);
+    await run(host, entryAddress, 100);
+    const through = await run(host, entryAddress, requests);
+    const direct = await run(host, engineListener.address, requests);
+    await rm(folder, { recursive: true, force: true });
+    return {
+        direct,
+        through,
+        latencyRatioP50: through.p50Ms / direct.p50Ms,
+        latencyRatioP99: through.p99Ms / direct.p99Ms,
+        rateRatio: through.requestsPerSecond / direct.requestsPerSecond,
+        addedP50Ms: through.p50Ms - direct.p50Ms,
+    };
+}
+
+async function startPath(host: Host, folder: string, engineAddress: string): Promise<string> {
+    const free = async () => {
+        const listener = await host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
+        await listener.close();
+        return listener.address;
+    };
+    const listen = await free();
+    const self = { voterId: "v", address: listen, failureDomain: "d" };
+    const common = { failureDomain: "d", controlAddresses: [listen] };
+    await initializeControl(host, { dataFolder: folder, groupId: "g", voterId: "v" }, [self]);
+    const control = await startControl(host, {
+        ...common,
+        vm: "c",
+        listen,
+        administrationListen: listen,
+        voterId: "v",
+        groupId: "g",
+        dataFolder: folder,
+        operatorToken: "t",
+    });
+    const call = { timeoutMs: 10_000 };
+    await control.control.submit("configuration.apply", {
+        baseVersion: 0,
+        changeId: "c",
+        objects: [...createSet(["a"], "cascade")],
+        actor: "b",
+    }, call);
+    await control.control.submit("budgets.topUp", { budget: "budget-a", tokens: 1e9, actor: "b" }, call);
+    const agent = await startAgent(host, {
+        ...common,
+        vm: "a",
+        listen: await free(),
+        backendServer: "engine",
+        backendServerAddress: engineAddress,
+        kind: "modelEngine",
+        pool: "lovage-pool",
+        models: ["lovage-pool"],
+        adapters: [],
+        checksFencing: true,
+        maxConcurrent: 16,
+        fleetSecret: "bench",
+    });
+    const entry = await startEntry(host, { ...common, vm: "e", listen: "127.0.0.1:0", fleetListen: await free() });
+    while (!entry.part.isReady() || !agent.part.isReady() || entry.part.routing.countCandidates("lovage-pool", host.clock.nowMs()) === 0) {
+        await sleep(host.timers, 20);
+    }
+    return entry.listeners[1]!.address;
+}
+
+async function run(host: Host, address: string, count: number) {
+    const histogram = build({ numberOfSignificantValueDigits: 3, highestTrackableValue: 60_000_000, bitBucketSize: 32 });
+    let sent = 0;
+    const worker = async () => {
+        while (sent < count) {
+            const number = sent++;
+            const startedMs = performance.now();
+            const body = {
+                model: "lovage-pool",
+                messages: [{ role: "user", content: `length:8 ${number}` }],
+                max_tokens: 16,
+                stream: true,
+            };
+            const reply = await host.network.request(address, {
+                method: "POST",
+                path: "/v1/chat/completions",
+                headers: { "authorization": `Bearer ${getKey("a")}`, "content-type": "application/json" },
+                body: Buffer.from(JSON.stringify(body)),
+            });
+            const text = Buffer.from(await readAll(reply.body)).toString("utf8");
+            if (reply.status !== 200 || !text.includes("[DONE]")) throw new Error(`status ${reply.status}: ${text.slice(0, 200)}`);
+            histogram.recordValue(Math.round((performance.now() - startedMs) * 1_000));
+        }
+    };
+    const startedMs = performance.now();
+    await Promise.all(Array.from({ length: concurrency }, worker));
+    const elapsedMs = performance.now() - startedMs;
+    const read = (percentile: number) => histogram.getValueAtPercentile(percentile) / 1_000;
+    return { p50Ms: read(50), p99Ms: read(99), requestsPerSecond: count / elapsedMs * 1_000 };
+}
--- /dev/null
+++ b/bench/slopeCalls.ts
@@ -0,0 +1,84 @@
+/** Costs of calls between processes, measured over loopback with both sides in this process. */
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { createEntryRouter } from "../src/kernel/contracts.js";
+import type { EntryRouter } from "../src/kernel/contracts.js";
+import { createNodeHost, fleetSecretHeader } from "../src/kernel/hostNode.js";
+import type { LoadReport } from "../src/kernel/messages.js";
+import { createRpcClients } from "../src/kernel/rpc.js";
+import { measureCpuMicros } from "./measureCost.js";
+
+/** Processor time of one call, both sides together, in microseconds. */
+export interface CallCosts {
+    readonly unbatchedCpuMicros: number;
+    /** With this many calls in flight that share batches. */
+    readonly batchedCpuMicros: number;
+    readonly batchSize: number;
+}
+
+const calls = 2_000;
+const batchSize = 50;
+const secret = "bench";
+
+/** Measures a load report as a call, alone and batched. */
+export async function measureCalls(): Promise<CallCosts> {
+    const quiet = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
+    const host = createNodeHost({ fleetSecret: secret, createLogger: quiet });
+    const router = createEntryRouter({ report: () => Promise.resolve({ nextReportMs: 500 }) });
+    const listener = await host.network.serve({
+        address: "127.0.0.1:0",
+        handler: (_request, response) => Promise.resolve(response.abort()),
+        router,
+        maxBodyBytes: 1e6,
+    });
+    const batched = createRpcClients<EntryRouter>(host.network).get(listener.address);
+    const alone = createTRPCClient<EntryRouter>({
+        links: [httpLink({ url: `http://${listener.address}/rpc`, headers: { [fleetSecretHeader]: secret } })],
+    });
+    const report = createSmallReport();
+    const runBatched = async () => {
+        for (let done = 0; done < calls; done += batchSize) {
+            await Promise.all(Array.from({ length: batchSize }, () => batched.report.mutate(report)));
+        }
+    };
+    const runAlone = async () => {
+        for (let done = 0; done < calls; done++) await alone.report.mutate(report);
+    };
+    await runBatched();
+    const costs = {
+        unbatchedCpuMicros: await measureCpuMicros(runAlone, 2) / calls,
+        batchedCpuMicros: await measureCpuMicros(runBatched, 3) / calls,
+        batchSize,
+    };
+    await listener.close();
+    return costs;
+}
+
+function createSmallReport(): LoadReport {
+    return {
+        agent: {
+            backendServer: "engine-1",
+            vm: "vm-1",
+            failureDomain: "pnw-a",
+            incarnation: "i",
+            address: "127.0.0.1:1",
+            kind: "modelEngine",
+            pool: "p",
+            models: ["m"],
+            adapters: [],
+            checksFencing: true,
+            maxConcurrent: 8,
+        },
+        sequence: 1,
+        isLeaving: false,
+        isHealthy: true,
+        outstandingRequests: 1,
+        pendingTokens: 1,
+        runningRequests: 1,
+        queuedRequests: 0,
+        queuedTokens: 0,
+        tokensPerSecond: 8_000,
+        ageMs: 1,
+        cacheAdded: [],
+        cacheRemoved: [],
+    };
+}
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,7 +7,7 @@
 import type { Host, HttpRequest, HttpResponse } from "../kernel/host.js";
 import { agentLoadHeader, dispatchSchema } from "../kernel/messages.js";
 import type { AgentAnnouncement, AgentLoad, AgentRefusal, Dispatch, Frame } from "../kernel/messages.js";
-import { repeat, sleep } from "../kernel/tasks.js";
+import { createStopController, repeat, sleep } from "../kernel/tasks.js";
 import { findRefusal } from "./gate.js";
 import type { GateState } from "./gate.js";
 import { createLeaseCounters } from "./leaseCounters.js";
@@ -53,7 +53,7 @@
     const { announcement, control } = options;
     const { incarnation } = announcement;
     const log = host.createLogger("agent");
-    const stopping = new AbortController();
+    const stopping = createStopController();
     const streams = createStreamBuffer(host, { maxBytes: options.maxBufferBytes ?? defaultBufferBytes, maxUnreadFrames });
     const counters = createLeaseCounters();
     const runner = createRunner(host, { adapter: options.adapter, streams, counters });
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -7,7 +7,7 @@
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Host } from "../../kernel/host.js";
 import type { ApplyContext } from "../../kernel/registry.js";
-import { createSignal, getErrorText, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
+import { createSignal, createStopController, getErrorText, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import { createControlClock } from "./controlClock.js";
 import { createElection } from "./election.js";
@@ -158,7 +158,7 @@
 export function createReplica(host: Host, options: ReplicaOptions): Replica {
     const { store, machine, self, timing } = options;
     const log = host.createLogger("log");
-    const stopping = new AbortController();
+    const stopping = createStopController();
     const committed = createSignal(host.timers);
     const applied = createSignal(host.timers);
     const controlClock = createControlClock(host.clock);
--- a/src/control/tasks.ts
+++ b/src/control/tasks.ts
@@ -3,7 +3,7 @@
 import type { Host } from "../kernel/host.js";
 import type { CommandInputs, CommandKind, ControlReply, LeaseUse } from "../kernel/messages.js";
 import { createRpcClients } from "../kernel/rpc.js";
-import { getErrorText, repeat, withTimeout } from "../kernel/tasks.js";
+import { createStopController, getErrorText, repeat, withTimeout } from "../kernel/tasks.js";
 import type { Incarnation } from "../kernel/types.js";
 import type { Replica } from "./log/replica.js";
 import type { Lease } from "./plugins/budgets/types.js";
@@ -36,7 +36,7 @@
 export function createLeaderTasks(host: Host, options: LeaderTasksOptions): LeaderTasks {
     const { replica, state } = options;
     const log = host.createLogger("recovery");
-    const stopping = new AbortController();
+    const stopping = createStopController();
     const agents = createRpcClients<AgentRouter>(host.network);
     const lastAliveMs = new Map<Incarnation, number>();
     let ledSinceMs = 0;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -4,7 +4,7 @@
 import type { ControlClient } from "../kernel/controlClient.js";
 import type { Host, HttpRequest, HttpResponse } from "../kernel/host.js";
 import { createRpcClients } from "../kernel/rpc.js";
-import { getErrorText, sleep } from "../kernel/tasks.js";
+import { createStopController, getErrorText, sleep } from "../kernel/tasks.js";
 import type { ProcessIdentity } from "../kernel/types.js";
 import { toVerdict, VerdictError } from "../kernel/verdict.js";
 import { sendProblem } from "./answers.js";
@@ -70,7 +70,7 @@
 export function createEntry(host: Host, options: EntryOptions): Entry {
     const { identity, control } = options;
     const log = host.createLogger("entry");
-    const stopping = new AbortController();
+    const stopping = createStopController();
     const statistics = createEntryStatistics();
     const routing = createRouter(host, { policy: options.routingPolicy, chooseOverride: options.chooseOverride });
     const leases = options.createLeases?.(host) ?? createLeaseBook(host, {
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -4,7 +4,6 @@
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, randomBytes, randomInt, timingSafeEqual } from "node:crypto";
-import { setMaxListeners } from "node:events";
 import { promises as files } from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
@@ -30,13 +29,12 @@
 const connectTimeoutMs = 2_000;
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 30_000;
+const closeGraceMs = 500;
 const maxHeaderSizeBytes = 16_384;
 const randomRange = 2 ** 47;
 
 /** Creates the real host. */
 export function createNodeHost(options: NodeHostOptions): Host {
-    // Many tasks wait on one signal that stops the process. That is no leak.
-    setMaxListeners(0);
     return {
         clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
         timers: {
@@ -142,14 +140,23 @@
             if (options.tls !== undefined && server instanceof https.Server) server.setSecureContext(await readTls(options));
         },
         close() {
-            return new Promise(resolve => {
-                server.close(() => resolve());
-                server.closeIdleConnections();
-            });
+            return closeServer(server);
         },
     };
 }
 
+// The part has finished its work before. Connections that others keep alive are let go, and long polls are cut.
+function closeServer(server: http.Server): Promise<void> {
+    return new Promise(resolve => {
+        const cut = setTimeout(() => server.closeAllConnections(), closeGraceMs);
+        server.close(() => {
+            clearTimeout(cut);
+            resolve();
+        });
+        server.closeIdleConnections();
+    });
+}
+
 async function createServer(options: ServerOptions, listener: http.RequestListener): Promise<http.Server> {
     const settings = { headersTimeout: headersTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderSizeBytes };
     if (options.tls === undefined) return http.createServer(settings, listener);
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -1,4 +1,5 @@
 /** Small helpers for asynchronous tasks on a host: sleeping, deadlines, signals and line reading. */
+import { setMaxListeners } from "node:events";
 import type { Clock, Host, Timers } from "./host.js";
 
 /** Thrown when a wait ends because its deadline passed. */
@@ -40,6 +41,13 @@
     });
 }
 
+/** Creates the controller of a signal that stops a whole part, on which any number of its tasks wait. */
+export function createStopController(): AbortController {
+    const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
+    return controller;
+}
+
 /** A condition that tasks wait for. Each `notify` wakes every waiter once. */
 export interface Signal {
     notify(): void;
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -7,7 +7,6 @@
 import { callTRPCProcedure } from "@trpc/server";
 import type { AnyRouter } from "@trpc/server";
 import { observable } from "@trpc/server/observable";
-import { setMaxListeners } from "node:events";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { NotSentError } from "../kernel/host.js";
@@ -86,7 +85,6 @@
 
 /** Creates a world without VMs. */
 export function createFakeWorld(seed: number): FakeWorld {
-    setMaxListeners(0);
     const random = createRandom(seed);
     const timers = createTimerHeap();
     const services = new Map<string, Service>();
--- /dev/null
+++ b/test/realHost.test.ts
@@ -0,0 +1,153 @@
+/** The parts on the real host: sockets, files and libraries as they are in production. No timing is asserted. */
+import { createHash } from "node:crypto";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "tap";
+import type { Host } from "../src/kernel/host.js";
+import { createNodeHost, fleetSecretHeader, parseAddress } from "../src/kernel/hostNode.js";
+import { readAll, sleep } from "../src/kernel/tasks.js";
+import { createAdministrationClient } from "../src/operator/client.js";
+import { createModelEngine, getExpectedAnswer } from "../src/standins/modelEngine.js";
+import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
+
+const quiet = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
+const secret = "test-secret";
+const key = "real-key";
+const model = "real-model";
+
+const objects = [
+    {
+        kind: "policy",
+        name: "p",
+        weighsMore: "overspend",
+        maxConcurrentRequests: 10,
+        requestsPerSecond: 100,
+        burstRequests: 100,
+        lostWork: "hold",
+    },
+    { kind: "clientAccount", name: "a", keyDigests: [createHash("sha256").update(key).digest("hex")], budget: "b", policy: "p" },
+    { kind: "budget", name: "b", clientAccounts: ["a"], policy: "p" },
+    { kind: "backendServerPool", name: "pool", backendServerKind: "modelEngine" },
+    { kind: "route", name: "r", model, pool: "pool", serviceClass: "interactive", timeoutMs: 30_000, maxCompletionTokens: 32 },
+];
+
+async function findFreeAddress(host: Host): Promise<string> {
+    const listener = await host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
+    await listener.close();
+    return listener.address;
+}
+
+async function startAll(host: Host, dataFolder: string) {
+    const listen = await findFreeAddress(host);
+    const common = { failureDomain: "d", controlAddresses: [listen] };
+    await initializeControl(host, { dataFolder, groupId: "g", voterId: "v" }, [{ voterId: "v", address: listen, failureDomain: "d" }]);
+    const control = await startControl(host, {
+        ...common,
+        vm: "c",
+        listen,
+        administrationListen: listen,
+        voterId: "v",
+        groupId: "g",
+        dataFolder,
+        operatorToken: "token",
+    });
+    const engine = createModelEngine(host);
+    const engineListener = await host.network.serve({ address: "127.0.0.1:0", handler: engine.handle, maxBodyBytes: 1e6 });
+    const agent = await startAgent(host, {
+        ...common,
+        vm: "a",
+        listen: await findFreeAddress(host),
+        backendServer: "engine",
+        backendServerAddress: engineListener.address,
+        kind: "modelEngine",
+        pool: "pool",
+        models: [model],
+        adapters: [],
+        checksFencing: true,
+        maxConcurrent: 4,
+        fleetSecret: secret,
+    });
+    const entry = await startEntry(host, { ...common, vm: "e", listen: "127.0.0.1:0", fleetListen: await findFreeAddress(host) });
+    return { control, engine, agent, entry, engineListener, listen };
+}
+
+function send(host: Host, address: string, content: string, headers: Record<string, string> = {}) {
+    const body = Buffer.from(JSON.stringify({ model, messages: [{ role: "user", content }], max_tokens: 8 }));
+    return host.network.request(address, {
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { authorization: `Bearer ${key}`, ...headers },
+        body,
+    });
+}
+
+test("a request, an operator and strangers on real sockets", async t => {
+    const host = createNodeHost({ fleetSecret: secret, createLogger: quiet });
+    const folder = await mkdtemp(join(tmpdir(), "lovage-test-"));
+    const { control, agent, entry, engineListener, listen } = await startAll(host, folder);
+    const administration = createAdministrationClient(`http://${listen}`, "token", "tester");
+    while (control.part.replica.getStatus().role !== "leader") await sleep(host.timers, 10);
+    const applied = await administration.submit("configuration.apply", { baseVersion: 0, changeId: "c1", objects }, "op1");
+    t.equal(applied.outcome, "accepted");
+    t.match(await administration.submit("budgets.topUp", { budget: "b", tokens: 10_000 }, "op2"), {
+        isKnown: true,
+        toppedUpTokens: 10_000,
+    });
+    while (!entry.part.isReady() || entry.part.routing.countCandidates("pool", host.clock.nowMs()) === 0 || entry.part.getVersion() === 0) {
+        await sleep(host.timers, 10);
+    }
+    const address = entry.listeners[1]!.address;
+    const reply = await send(host, address, "hello");
+    const completion = JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")) as {
+        choices: { message: { content: string; }; }[];
+    };
+    t.match(reply, { status: 200, headers: { "lovage-verdict": "ran" } });
+    t.equal(completion.choices[0]!.message.content, getExpectedAnswer("hello", 8));
+
+    const stranger = await fetch(`http://${agent.listeners[0]!.address}/rpc/cancel`, { method: "POST", body: "{}" });
+    t.equal(stranger.status, 401);
+    t.equal(await stranger.text(), "");
+    const wrong = await fetch(`http://${agent.listeners[0]!.address}/dispatch`, {
+        method: "POST",
+        headers: { [fleetSecretHeader]: "wrong" },
+    });
+    t.equal(wrong.status, 401);
+    t.equal((await fetch(`http://${listen}/admin/v1/status`)).status, 401);
+    await t.rejects(createAdministrationClient(`http://${listen}`, "wrong").getStatus(), /token is wrong/);
+    const large = await fetch(`http://${address}/v1/chat/completions`, { method: "POST", body: "x".repeat(9_000_000) }).catch(() =>
+        undefined
+    );
+    t.ok(large === undefined || large.status === 413, "an oversize body is refused");
+    t.match(
+        await fetch(`http://${address}/v1/chat/completions`, { method: "POST", headers: { authorization: `Bearer ${key}` }, body: "{" }),
+        { status: 400 },
+    );
+    for (const path of ["/healthz", "/readyz", "/metrics"]) t.equal((await fetch(`http://${address}${path}`)).status, 200, path);
+    const page = await fetch(`http://${listen}/`, { headers: { authorization: `Basic ${Buffer.from("x:token").toString("base64")}` } });
+    t.match(await page.text(), /<title>lovagefold<\/title>/);
+    const { records } = await administration.query("audit.since", { wallMs: 0, limit: 10 });
+    t.match(records, [{ actor: "tester", action: "apply", outcome: "accepted" }, { actor: "tester", action: "topUp" }]);
+
+    await entry.stop();
+    await agent.stop();
+    t.match((await administration.query("budgets.show", { budget: "b" })).budget, { settledTokens: 14, leasedTokens: 0 });
+    await control.stop();
+    await engineListener.close();
+    await rm(folder, { recursive: true, force: true });
+});
+
+test("an address must be an IP number with a port", t => {
+    t.same(parseAddress("127.0.0.1:80"), { host: "127.0.0.1", port: 80 });
+    t.same(parseAddress("[::1]:80"), { host: "::1", port: 80 });
+    for (const wrong of ["localhost:80", "127.0.0.1", "127.0.0.1:99999", "1.2.3:4"]) t.throws(() => parseAddress(wrong), wrong);
+    t.end();
+});
+
+test("a taken port is named in the error", async t => {
+    const host = createNodeHost({ fleetSecret: secret, createLogger: quiet });
+    const serve = (address: string) => host.network.serve({ address, handler: () => Promise.resolve(), maxBodyBytes: 1 });
+    const first = await serve("127.0.0.1:0");
+    await t.rejects(serve(first.address), /cannot listen on 127\.0\.0\.1/);
+    await first.close();
+});
