Publish changes as deltas, slim load reports, pace them by what an entry can take

Change: a watch answers with what changed since the node's version, checked by the digest of the whole set (which no longer depends on order), and with the whole set where that is no longer held; a load report carries the announcement only until the entry has it; reports slow down by 50 ms for each agent beyond 16; idempotent claims are kept 15 minutes.

--- a/bench/capacityPage.ts
+++ b/bench/capacityPage.ts
@@ -23,7 +23,7 @@
     keyedShare: 0.3,
     /** Groups of three voters on 12 of the 13 VMs, and one spare. */
     controlGroups: 4,
-    claimRetentionS: 3_600,
+    claimRetentionS: 900,
     /** Budgets that one node draws on at a time. */
     activeBudgetsPerNode: 60,
     renewalIntervalS: 10,
@@ -31,7 +31,11 @@
     reportFanOut: 12,
     heartbeatS: 2,
     watchS: 10,
-    reportTargetPerSecond: 100,
+    /** As the entry paces them: a tenth of a second, and 50 ms for each agent beyond 16. */
+    minReportS: 0.1,
+    unpacedAgents: 16,
+    reportShareS: 0.05,
+    objectsPerChange: 3,
 } as const;
 
 const begin = "<!-- slopes: begin -->";
@@ -127,7 +131,7 @@
     const { nodes, backendServers, requestsPerSecond } = targetSizes;
     const requestsHere = requestsPerSecond / nodes;
     const agentsHeard = backendServers * assumptions.reportFanOut / nodes;
-    const reportsPerSecond = Math.min(assumptions.reportTargetPerSecond, agentsHeard * 2);
+    const reportsPerSecond = agentsHeard / getPaceS(agentsHeard);
     const renewalBytes = assumptions.activeBudgetsPerNode * slopes.leaseRenewalBytes.slope + httpOverheadBytes;
     const keyedCalls = requestsHere * assumptions.keyedShare * 2;
     return [
@@ -145,7 +149,7 @@
             what: "claims of keyed requests",
             rate: `${keyedCalls.toFixed(1)} calls/s`,
             cpuShare: keyedCalls * slopes.calls.batchedCpuMicros / 2 / microsPerSecond,
-            bytesPerSecond: keyedCalls * claimBytes,
+            bytesPerSecond: keyedCalls * slopes.claimBytes,
             memoryBytes: 0,
         },
         {
@@ -160,18 +164,22 @@
     ];
 }
 
-const claimBytes = 420;
+function getPaceS(agentsHeard: number): number {
+    return Math.max(assumptions.minReportS, (agentsHeard - assumptions.unpacedAgents) * assumptions.reportShareS);
+}
 
-// A change publishes the whole set today. The page says what must change.
-function createConfigurationRow(role: string, slopes: Slopes): Row {
+// A change publishes what it changed, and the node checks the digest of the whole set.
+function createConfigurationRow(role: string, slopes: Slopes, receivers = 1): Row {
     const objects = targetSizes.budgets + targetSizes.clientAccounts;
     const changesPerSecond = targetSizes.changesPerDay / secondsPerDay;
+    const deltaBytes = assumptions.objectsPerChange * slopes.objectBytes.slope + httpOverheadBytes;
     return {
         role,
-        what: "configuration, full set a change",
-        rate: `${changesPerSecond.toFixed(2)} changes/s of ${objects.toLocaleString("en-US")} objects`,
-        cpuShare: changesPerSecond * objects * slopes.objectCheckCpuMicros.slope / microsPerSecond,
-        bytesPerSecond: changesPerSecond * objects * slopes.objectBytes.slope,
+        what: "configuration: deltas, checked by the set's digest",
+        rate: `${changesPerSecond.toFixed(2)} changes/s to ${objects.toLocaleString("en-US")} objects`,
+        cpuShare: changesPerSecond * (objects * slopes.setDigestCpuMicros.slope + receivers * slopes.calls.batchedCpuMicros) /
+            microsPerSecond,
+        bytesPerSecond: changesPerSecond * deltaBytes * receivers,
         memoryBytes: objects * slopes.objectBytes.slope * 3,
     };
 }
@@ -180,8 +188,7 @@
     const { backendServers, nodes, requestsPerSecond } = targetSizes;
     const perAgent = requestsPerSecond / backendServers;
     const agentsHeard = backendServers * assumptions.reportFanOut / nodes;
-    const paceS = Math.max(0.1, agentsHeard / assumptions.reportTargetPerSecond);
-    const reportsPerSecond = assumptions.reportFanOut / paceS;
+    const reportsPerSecond = assumptions.reportFanOut / getPaceS(agentsHeard);
     return [
         {
             role: "agent",
@@ -237,7 +244,7 @@
             what: "claims: open and finish",
             rate: `${(claimsPerSecond * 2).toFixed(0)} commands/s, ${(claimsHeld / 1e6).toFixed(1)} million held`,
             cpuShare: claimsPerSecond * (slopes.claimCpuMicros.slope + slopes.calls.batchedCpuMicros) / microsPerSecond,
-            bytesPerSecond: claimsPerSecond * 2 * claimBytes * 3,
+            bytesPerSecond: claimsPerSecond * 2 * slopes.claimBytes * 3,
             memoryBytes: claimsHeld * slopes.claimHeapBytes.slope,
         },
         {
@@ -248,7 +255,7 @@
             bytesPerSecond: backendServers / assumptions.heartbeatS / groups * (httpOverheadBytes + heartbeatBytes),
             memoryBytes: backendServers / groups * slopes.agentHeapBytes.slope,
         },
-        createConfigurationRow(role, slopes),
+        createConfigurationRow(role, slopes, nodes / 12),
     ];
 }
 
--- a/bench/decisionBench.ts
+++ b/bench/decisionBench.ts
@@ -3,6 +3,7 @@
 import { getPrefixHashes } from "../src/kernel/prefix.js";
 import { createRandom } from "../src/standins/fakeHost.js";
 import { measureCpuMicros, measureHeapBytes } from "./measureCost.js";
+import { createFirstReport } from "./reports.js";
 
 const fleetSizes = [8, 64, 512, 4_600] as const;
 const decisions = 20_000;
@@ -14,7 +15,7 @@
         const create = () => createFilled(backendServers);
         const router = create();
         const request = {
-            pool: "p",
+            pool: "lovage-pool",
             promptTokens: 2_000,
             prefixHashes: getPrefixHashes("a long job sheet ".repeat(500)),
             excluded: new Set<string>(),
@@ -41,34 +42,6 @@
 
 function createFilled(backendServers: number) {
     const router = createRouter({ random: { nextUnit: createRandom(1), nextId: () => "" } });
-    for (let index = 0; index < backendServers; index++) {
-        router.learn({
-            agent: {
-                backendServer: `engine-${index}`,
-                vm: `vm-${index}`,
-                failureDomain: `d${index % 8}`,
-                incarnation: `i-${index}`,
-                address: `10.0.0.${index % 250}:1`,
-                kind: "modelEngine",
-                pool: "p",
-                models: ["m"],
-                adapters: [],
-                checksFencing: true,
-                maxConcurrent: 16,
-            },
-            sequence: 1,
-            isLeaving: false,
-            isHealthy: true,
-            outstandingRequests: index % 12,
-            pendingTokens: (index * 37) % 4_000,
-            runningRequests: 1,
-            queuedRequests: 0,
-            queuedTokens: 0,
-            tokensPerSecond: 8_000,
-            ageMs: 1,
-            cacheAdded: [],
-            cacheRemoved: [],
-        }, 0);
-    }
+    for (let index = 0; index < backendServers; index++) router.learn(createFirstReport(index), 0);
     return router;
 }
--- /dev/null
+++ b/bench/reports.ts
@@ -0,0 +1,46 @@
+/** Load reports as agents send them, for benches. */
+import type { AgentAnnouncement, LoadReport } from "../src/kernel/messages.js";
+
+const hostsPerNetwork = 250;
+
+/** Announcement of the agent with a number. */
+export function createAnnouncement(index: number): AgentAnnouncement {
+    return {
+        backendServer: `engine-${index}`,
+        vm: `agent-vm-${index}`,
+        failureDomain: `domain-${index % 8}`,
+        incarnation: `agent-incarnation-${index}`,
+        address: `10.0.${Math.floor(index / hostsPerNetwork)}.${index % hostsPerNetwork}:7200`,
+        kind: "modelEngine",
+        pool: "lovage-pool",
+        models: ["model-1", "model-2"],
+        adapters: [],
+        checksFencing: true,
+        maxConcurrent: 16,
+    };
+}
+
+/** A report as most are: without the announcement, which the entry knows. */
+export function createReport(index: number, sequence: number): LoadReport {
+    return {
+        backendServer: `engine-${index}`,
+        incarnation: `agent-incarnation-${index}`,
+        sequence,
+        isLeaving: false,
+        isHealthy: true,
+        outstandingRequests: index % 12,
+        pendingTokens: (index * 37) % 4_000,
+        runningRequests: 5,
+        queuedRequests: 1,
+        queuedTokens: 700,
+        tokensPerSecond: 8_000,
+        ageMs: 120,
+        cacheAdded: ["3:1a2b3c4d", "4:5e6f7a8b"],
+        cacheRemoved: ["7:9c8d7e6f"],
+    };
+}
+
+/** An agent's first report, with its announcement. */
+export function createFirstReport(index: number): LoadReport {
+    return { ...createReport(index, 0), agent: createAnnouncement(index) };
+}
--- a/bench/slopeCalls.ts
+++ b/bench/slopeCalls.ts
@@ -3,9 +3,9 @@
 import { createEntryRouter } from "../src/kernel/contracts.js";
 import type { EntryRouter } from "../src/kernel/contracts.js";
 import { createNodeHost, fleetSecretHeader } from "../src/kernel/hostNode.js";
-import type { LoadReport } from "../src/kernel/messages.js";
 import { createRpcClients } from "../src/kernel/rpc.js";
 import { measureCpuMicros } from "./measureCost.js";
+import { createReport } from "./reports.js";
 
 /** Processor time of one call, both sides together, in microseconds. */
 export interface CallCosts {
@@ -23,7 +23,7 @@
 export async function measureCalls(): Promise<CallCosts> {
     const quiet = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
     const host = createNodeHost({ fleetSecret: secret, createLogger: quiet });
-    const router = createEntryRouter({ report: () => Promise.resolve({ nextReportMs: 500 }) });
+    const router = createEntryRouter({ report: () => Promise.resolve({ nextReportMs: 500, wantsAgent: false }) });
     const listener = await host.network.serve({
         address: "127.0.0.1:0",
         handler: (_request, response) => Promise.resolve(response.abort()),
@@ -34,7 +34,7 @@
     const alone = createTRPCClient<EntryRouter>({
         links: [httpLink({ url: `http://${listener.address}/rpc`, headers: { [fleetSecretHeader]: secret } })],
     });
-    const report = createSmallReport();
+    const report = createReport(1, 1);
     const runBatched = async () => {
         for (let done = 0; done < calls; done += batchSize) {
             await Promise.all(Array.from({ length: batchSize }, () => batched.report.mutate(report)));
@@ -52,33 +52,3 @@
     await listener.close();
     return costs;
 }
-
-function createSmallReport(): LoadReport {
-    return {
-        agent: {
-            backendServer: "engine-1",
-            vm: "vm-1",
-            failureDomain: "pnw-a",
-            incarnation: "i",
-            address: "127.0.0.1:1",
-            kind: "modelEngine",
-            pool: "p",
-            models: ["m"],
-            adapters: [],
-            checksFencing: true,
-            maxConcurrent: 8,
-        },
-        sequence: 1,
-        isLeaving: false,
-        isHealthy: true,
-        outstandingRequests: 1,
-        pendingTokens: 1,
-        runningRequests: 1,
-        queuedRequests: 0,
-        queuedTokens: 0,
-        tokensPerSecond: 8_000,
-        ageMs: 1,
-        cacheAdded: [],
-        cacheRemoved: [],
-    };
-}
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -13,7 +13,9 @@
 import { createRouter } from "../src/entry/routing/router.js";
 import type { RouteRequest } from "../src/entry/routing/types.js";
 import { commandSchemas, loadReportSchema } from "../src/kernel/messages.js";
-import type { CommandKind, LeaseRenewal, LoadReport } from "../src/kernel/messages.js";
+import type { CommandKind, LeaseRenewal } from "../src/kernel/messages.js";
+import { getSetDigest } from "../src/kernel/objects.js";
+import type { ConfigurationObject } from "../src/kernel/objects.js";
 import { getPrefixHashes } from "../src/kernel/prefix.js";
 import { createRegistry } from "../src/kernel/registry.js";
 import type { ApplyContext, Registry } from "../src/kernel/registry.js";
@@ -21,6 +23,7 @@
 import { createSet } from "./fleet.js";
 import { measureCpuMicros, measureHeapBytes, measureMs, measureSlope } from "./measureCost.js";
 import type { LineFit } from "./measureCost.js";
+import { createAnnouncement, createFirstReport, createReport } from "./reports.js";
 import { measureCalls } from "./slopeCalls.js";
 import type { CallCosts } from "./slopeCalls.js";
 
@@ -30,12 +33,15 @@
     readonly leaseRenewalBytes: LineFit;
     readonly logBytesPerLeaseRenewal: LineFit;
     readonly claimCpuMicros: LineFit;
+    /** Mean bytes of the two calls of one claim, as JSON. */
+    readonly claimBytes: number;
     readonly claimHeapBytes: LineFit;
     readonly claimSnapshotBytes: LineFit;
     readonly budgetHeapBytes: LineFit;
     readonly leaseHeapBytes: LineFit;
     readonly agentHeapBytes: LineFit;
     readonly objectCheckCpuMicros: LineFit;
+    readonly setDigestCpuMicros: LineFit;
     readonly objectBytes: LineFit;
     readonly snapshotMs: LineFit;
     readonly restoreMs: LineFit;
@@ -52,6 +58,7 @@
 const budgetSizes = [1_000, 5_000, 11_000] as const;
 const fleetSizes = [8, 64, 512, 4_600] as const;
 const seed = 7;
+const agentsHeard = 60;
 
 /** Measures all slopes. Takes about a minute. */
 export async function measureSlopes(): Promise<Slopes> {
@@ -60,6 +67,7 @@
         leaseRenewalBytes: await measureSlope(sizes, count => JSON.stringify(createRenewals(count, "b")).length),
         logBytesPerLeaseRenewal: await measureSlope(sizes, count => encodeRecord(createRenewals(count, "b")).length),
         claimCpuMicros: await measureSlope([2_000, 10_000, 50_000], measureClaimCpu),
+        claimBytes: measureClaimBytes(),
         claimHeapBytes: await measureSlope([5_000, 20_000, 80_000], count => measureHeapBytes(() => fillClaims(count))),
         claimSnapshotBytes: await measureSlope(
             [5_000, 20_000, 80_000],
@@ -69,6 +77,10 @@
         leaseHeapBytes: await measureSlope([2_000, 10_000, 40_000], count => measureHeapBytes(() => fillLedger(Math.ceil(count / 20), 20))),
         agentHeapBytes: await measureSlope([500, 2_000, 4_600], count => measureHeapBytes(() => fillFleet(count))),
         objectCheckCpuMicros: await measureSlope([2_000, 8_000, 20_000], measureCheckCpu),
+        setDigestCpuMicros: await measureSlope([2_000, 8_000, 20_000], count => {
+            const objects = createObjects(count) as readonly ConfigurationObject[];
+            return measureCpuMicros(() => getSetDigest(objects), 3);
+        }),
         objectBytes: await measureSlope([2_000, 8_000, 20_000], count => JSON.stringify(createObjects(count)).length),
         snapshotMs: await measureSlope(budgetSizes, async count => {
             const { machine } = createLoadedMachine(count);
@@ -129,6 +141,14 @@
     });
 }
 
+function measureClaimBytes(): number {
+    const common = { clientAccount: "account-4711", key: "key-4711-0123456789abcdef", requestId: "request-4711-0123456789.0" };
+    const place = { incarnation: "agent-incarnation-1", address: "10.0.3.17:7200", isIdempotent: true, bodyDigest: "0".repeat(64) };
+    const open = { kind: "claims.open", operationId: "0123456789abcdef", input: { ...common, ...place } };
+    const finish = { kind: "claims.finish", operationId: "0123456789abcdef", input: { ...common, billedTokens: 300 } };
+    return (JSON.stringify(open).length + JSON.stringify(finish).length) / 2;
+}
+
 function fillClaims(count: number): ReturnType<typeof createClaims> {
     const claims = createClaims();
     for (let index = 0; index < count; index++) openAndFinish(claims, index);
@@ -179,7 +199,7 @@
 function fillFleet(count: number): Registry {
     const { registry } = createState();
     for (let index = 0; index < count; index++) {
-        registry.apply("fleet.announceAgent", { agent: createReport(index, 0).agent }, createContext(index + 1));
+        registry.apply("fleet.announceAgent", { agent: createAnnouncement(index) }, createContext(index + 1));
     }
     return registry;
 }
@@ -214,39 +234,10 @@
     return { machine, state };
 }
 
-function createReport(index: number, sequence: number): LoadReport {
-    return {
-        agent: {
-            backendServer: `engine-${index}`,
-            vm: `agent-vm-${index}`,
-            failureDomain: `domain-${index % 8}`,
-            incarnation: `agent-incarnation-${index}`,
-            address: `10.0.${Math.floor(index / 250)}.${index % 250}:7200`,
-            kind: "modelEngine",
-            pool: "lovage-pool",
-            models: ["model-1", "model-2"],
-            adapters: [],
-            checksFencing: true,
-            maxConcurrent: 16,
-        },
-        sequence,
-        isLeaving: false,
-        isHealthy: true,
-        outstandingRequests: index % 12,
-        pendingTokens: (index * 37) % 4_000,
-        runningRequests: 5,
-        queuedRequests: 1,
-        queuedTokens: 700,
-        tokensPerSecond: 8_000,
-        ageMs: 120,
-        cacheAdded: ["3:1a2b3c4d", "4:5e6f7a8b"],
-        cacheRemoved: ["7:9c8d7e6f"],
-    };
-}
-
 async function measureReportCpu(count: number): Promise<number> {
     const router = createRouter({ random: { nextUnit: createRandom(seed), nextId: () => "" } });
-    const texts = Array.from({ length: count }, (_, index) => JSON.stringify(createReport(index % 60, index)));
+    for (let index = 0; index < agentsHeard; index++) router.learn(createFirstReport(index), 0);
+    const texts = Array.from({ length: count }, (_, index) => JSON.stringify(createReport(index % agentsHeard, index)));
     return measureCpuMicros(() => {
         for (const [index, text] of texts.entries()) router.learn(loadReportSchema.parse(JSON.parse(text)), index);
     }, 3);
@@ -254,7 +245,7 @@
 
 function createFilledRouter(count: number) {
     const router = createRouter({ random: { nextUnit: createRandom(seed), nextId: () => "" } });
-    for (let index = 0; index < count; index++) router.learn(createReport(index, 1), 0);
+    for (let index = 0; index < count; index++) router.learn(createFirstReport(index), 0);
     return router;
 }
 
--- a/src/agent/reporter.ts
+++ b/src/agent/reporter.ts
@@ -60,6 +60,8 @@
     let sequence = 0;
     let highestEpoch = -1;
     const wantedPaces = new Map<string, number>();
+    // The announcement that each entry has, by the entry's incarnation.
+    const knownBy = new Map<string, AgentAnnouncement>();
     const doneOrders = new Set<number>();
 
     return {
@@ -142,7 +144,8 @@
     function reportLoad(): void {
         if (!isAnnounced) return;
         const report: LoadReport = {
-            agent: announcement,
+            backendServer: announcement.backendServer,
+            incarnation: announcement.incarnation,
             sequence: sequence++,
             isLeaving: isLeaving || isDraining,
             isHealthy: load.isHealthy,
@@ -160,14 +163,23 @@
         for (const address of wantedPaces.keys()) {
             if (!targets.some(entry => entry.address === address)) wantedPaces.delete(address);
         }
+        for (const incarnation of knownBy.keys()) {
+            if (!targets.some(entry => entry.incarnation === incarnation)) knownBy.delete(incarnation);
+        }
         // An entry that does not answer must not delay the next report to the others.
         for (const entry of targets) void sendReport(entry, report);
     }
 
     async function sendReport(entry: EntryAnnouncement, report: LoadReport): Promise<void> {
-        const call = entryClients.get(entry.address).report.mutate(report) as Promise<ReportReply>;
+        const isKnown = knownBy.get(entry.incarnation) === announcement;
+        const call = entryClients.get(entry.address).report.mutate(isKnown ? report : { ...report, agent: announcement }) as Promise<
+            ReportReply
+        >;
         const reply = await withTimeout(host.timers, call, callTimeoutMs, "report").catch(() => undefined);
-        if (reply !== undefined) wantedPaces.set(entry.address, reply.nextReportMs);
+        if (reply === undefined) return;
+        wantedPaces.set(entry.address, reply.nextReportMs);
+        if (reply.wantsAgent) knownBy.delete(entry.incarnation);
+        else knownBy.set(entry.incarnation, announcement);
     }
 
     async function refresh(): Promise<void> {
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -159,12 +159,12 @@
         const isDue = () => state.getRevision() > request.revision || state.listRecalled(request.incarnation).length > 0;
         await waitUntil(host, changed, isDue, request.timeoutMs);
         const revision = state.getRevision();
-        const isNewer = revision > request.revision;
-        return {
-            revision,
-            configuration: isNewer ? state.getConfiguration() : undefined,
-            recalledBudgets: state.listRecalled(request.incarnation),
-        };
+        const recalledBudgets = state.listRecalled(request.incarnation);
+        if (revision <= request.revision) return { revision, recalledBudgets };
+        const delta = state.getDelta(request.version);
+        return delta === undefined
+            ? { revision, configuration: state.getConfiguration(), recalledBudgets }
+            : { revision, delta, recalledBudgets };
     }
 
     async function heartbeat(request: Heartbeat): Promise<ControlReply<HeartbeatResult>> {
--- a/src/control/plugins/claims.ts
+++ b/src/control/plugins/claims.ts
@@ -10,7 +10,7 @@
 }
 
 /** Control time for which a claim is kept after its last change, by whether its request may be repeated. */
-export const claimRetentionMs = { idempotent: 3_600_000, nonIdempotent: 24 * 3_600_000 } as const;
+export const claimRetentionMs = { idempotent: 900_000, nonIdempotent: 24 * 3_600_000 } as const;
 
 interface KeptClaim extends Claim {
     /** Request that was billed. A later attempt of the same claim is not billed again. */
--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -1,7 +1,7 @@
 /** The configuration: full sets that are checked whole and published under one version. */
 import { getDigest } from "../../kernel/digest.js";
-import type { ChangeOutcome, ConfigurationView, Problem, QuarantineView } from "../../kernel/messages.js";
-import { createObjectIndex } from "../../kernel/objects.js";
+import type { ChangeOutcome, ConfigurationDelta, ConfigurationView, Problem, QuarantineView } from "../../kernel/messages.js";
+import { createObjectIndex, getObjectKey, getSetDigest } from "../../kernel/objects.js";
 import type { ConfigurationObject, ObjectIndex } from "../../kernel/objects.js";
 import type { ApplyContext, ControlPlugin, ObjectKind, ObjectSet, Registry } from "../../kernel/registry.js";
 import type { AuditWriter } from "./audit.js";
@@ -10,6 +10,8 @@
 export interface Configuration {
     readonly plugin: ControlPlugin;
     getView(): ConfigurationView;
+    /** What changed since a version, where that is still held. */
+    getDelta(sinceVersion: number): ConfigurationDelta | undefined;
     getIndex(): ObjectIndex;
     getVersion(): number;
 }
@@ -34,11 +36,14 @@
     let lastChangeId = "";
     let objects: readonly ConfigurationObject[] = [];
     let index = createObjectIndex([]);
-    let digest = getDigest([]);
+    let digest = getSetDigest([]);
     let changes = new Map<string, KeptChange>();
+    // Keys that each of the last versions changed. Not in snapshots: a restored VM publishes whole sets at first.
+    let recent: readonly RecentChange[] = [];
 
     return {
         getView: () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
+        getDelta,
         getIndex: () => index,
         getVersion: () => version,
         plugin: {
@@ -70,7 +75,7 @@
     function setObjects(accepted: readonly ConfigurationObject[]): void {
         objects = accepted;
         index = createObjectIndex(accepted);
-        digest = getDigest(accepted);
+        digest = getSetDigest(accepted);
     }
 
     function applyChange(
@@ -111,6 +116,8 @@
         }
         const checked = checkObjects(input.objects, options.registry, objects);
         if (checked.problems.length > 0) return { outcome: "invalid", version, problems: checked.problems };
+        const keys = compareObjects(objects, checked.objects);
+        recent = [...recent, { baseVersion: version, version: context.index, keys }].slice(-maxRecentChanges);
         version = context.index;
         lastChangeId = input.changeId;
         setObjects(checked.objects);
@@ -119,6 +126,20 @@
         return outcome;
     }
 
+    function getDelta(sinceVersion: number): ConfigurationDelta | undefined {
+        if (sinceVersion === version) return createDelta(sinceVersion, new Set());
+        const from = recent.findIndex(change => change.baseVersion === sinceVersion);
+        if (from < 0) return undefined;
+        return createDelta(sinceVersion, new Set(recent.slice(from).flatMap(change => change.keys)));
+    }
+
+    function createDelta(baseVersion: number, keys: ReadonlySet<string>): ConfigurationDelta {
+        const changed = objects.filter(object => keys.has(getObjectKey(object)));
+        const present = new Set(changed.map(getObjectKey));
+        const removed = [...keys].filter(key => !present.has(key));
+        return { baseVersion, version, digest, changed, removed, quarantined: options.listQuarantined() };
+    }
+
     function keepChange(changeId: string, change: KeptChange): void {
         changes.set(changeId, change);
         const oldest = changes.keys().next().value;
@@ -126,6 +147,22 @@
     }
 }
 
+interface RecentChange {
+    readonly baseVersion: number;
+    readonly version: number;
+    readonly keys: readonly string[];
+}
+
+const maxRecentChanges = 200;
+
+// Keys of the objects that differ between two sets.
+function compareObjects(before: readonly ConfigurationObject[], after: readonly ConfigurationObject[]): readonly string[] {
+    const old = new Map(before.map(object => [getObjectKey(object), JSON.stringify(object)]));
+    const changed = after.filter(object => old.get(getObjectKey(object)) !== JSON.stringify(object)).map(getObjectKey);
+    const kept = new Set(after.map(getObjectKey));
+    return [...changed, ...[...old.keys()].filter(key => !kept.has(key))];
+}
+
 function repeat(first: ChangeOutcome): ChangeOutcome {
     return { ...first, outcome: "repeated" };
 }
@@ -149,7 +186,7 @@
         const checked = checkShape(item, position, registry);
         problems.push(...checked.problems);
         if (checked.object === undefined || checked.kind === undefined) continue;
-        const key = `${checked.object.kind}/${checked.object.name}`;
+        const key = getObjectKey(checked.object);
         if (seen.has(key)) problems.push({ object: key, field: "name", detail: "stands twice in the set" });
         seen.add(key);
         parsed.push({ object: checked.object, kind: checked.kind });
@@ -157,7 +194,7 @@
     const set = createObjectSet(parsed.map(item => item.object));
     for (const { object, kind } of parsed) problems.push(...kind.check(object, set));
     for (const object of before) {
-        if (seen.has(`${object.kind}/${object.name}`)) continue;
+        if (seen.has(getObjectKey(object))) continue;
         problems.push(...registry.getObjectKind(object.kind)?.checkRemoval?.(object) ?? []);
     }
     return { objects: parsed.map(item => item.object), problems };
@@ -183,7 +220,7 @@
 }
 
 function createObjectSet(objects: readonly ConfigurationObject[]): ObjectSet {
-    const byKey = new Map(objects.map(object => [`${object.kind}/${object.name}`, object]));
+    const byKey = new Map(objects.map(object => [getObjectKey(object), object]));
     const byKind = new Map<string, readonly unknown[]>();
     return {
         has: (kind, name) => byKey.has(`${kind}/${name}`),
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -1,6 +1,6 @@
 /** Registers control's plug-ins and gathers what the control VM asks of them together. */
 import type { Heartbeat, HeartbeatResult } from "../../kernel/contracts.js";
-import type { ConfigurationView } from "../../kernel/messages.js";
+import type { ConfigurationDelta, ConfigurationView } from "../../kernel/messages.js";
 import type { ControlPlugin, Registry } from "../../kernel/registry.js";
 import type { Incarnation } from "../../kernel/types.js";
 import { createAuditTrail } from "./audit.js";
@@ -20,6 +20,7 @@
     readonly ledger: Ledger;
     readonly fleet: FleetState;
     getConfiguration(): ConfigurationView;
+    getDelta(sinceVersion: number): ConfigurationDelta | undefined;
     /** Index of the last change to what is published. */
     getRevision(): number;
     onApplied(index: number): void;
@@ -100,6 +101,7 @@
         ledger,
         fleet: fleet.state,
         getConfiguration: configuration.getView,
+        getDelta: configuration.getDelta,
         getRevision: () => revision,
         onApplied(index) {
             const key = getPublishedKey();
--- a/src/entry/configurationView.ts
+++ b/src/entry/configurationView.ts
@@ -1,10 +1,10 @@
 /** The configuration in force at this node. Its version never goes down. */
 import type { ControlClient } from "../kernel/controlClient.js";
 import { assert } from "../kernel/debug.js";
-import { getDigest, getSha256 } from "../kernel/digest.js";
+import { getSha256 } from "../kernel/digest.js";
 import type { Host } from "../kernel/host.js";
-import type { ConfigurationView, Suspicion } from "../kernel/messages.js";
-import { createObjectIndex } from "../kernel/objects.js";
+import type { ConfigurationDelta, ConfigurationView, Suspicion } from "../kernel/messages.js";
+import { createObjectIndex, getObjectKey, getSetDigest } from "../kernel/objects.js";
 import type { ClientAccountObject, ConfigurationObject, ObjectIndex, RouteObject } from "../kernel/objects.js";
 import { getErrorText, repeat, sleep } from "../kernel/tasks.js";
 import type { ProcessIdentity } from "../kernel/types.js";
@@ -40,6 +40,7 @@
     let version = 0;
     let revision = 0;
     let hasConfirmed = false;
+    let isWholeWanted = true;
     let objects = createObjectIndex([]);
     let accountsByDigest: ReadonlyMap<string, ClientAccountObject> = new Map();
     let routesByModel: ReadonlyMap<string, RouteObject> = new Map();
@@ -65,18 +66,20 @@
     };
 
     async function run(signal: AbortSignal): Promise<void> {
-        while (!hasConfirmed && !signal.aborted) {
-            const outcome = await control.query("configuration.get", {}, { timeoutMs: readTimeoutMs });
-            if (outcome.kind === "done") {
-                putInForce(outcome.result);
-                hasConfirmed = true;
-            }
-            else await sleep(host.timers, retryMs, signal);
-        }
         await repeat(host.timers, 0, signal, watchOnce, error => log.warn("A watch failed.", { detail: getErrorText(error) }));
     }
 
+    async function readWhole(): Promise<boolean> {
+        const outcome = await control.query("configuration.get", {}, { timeoutMs: readTimeoutMs });
+        if (outcome.kind !== "done") return false;
+        putInForce(outcome.result);
+        hasConfirmed = true;
+        isWholeWanted = false;
+        return true;
+    }
+
     async function watchOnce(): Promise<void> {
+        if (isWholeWanted && !await readWhole()) return sleep(host.timers, retryMs);
         const { vm, role, failureDomain, incarnation } = identity;
         const reply = await control.watch({ vm, role, failureDomain, incarnation, version, revision, timeoutMs: watchTimeoutMs });
         if (reply === undefined) return sleep(host.timers, retryMs);
@@ -84,18 +87,34 @@
             revision = reply.revision;
             putInForce(reply.configuration);
         }
+        if (reply.delta !== undefined && reply.revision > revision) applyDelta(reply.delta, reply.revision);
         if (reply.recalledBudgets.length > 0) {
             options.onRecall(reply.recalledBudgets);
             await sleep(host.timers, recallPauseMs);
         }
     }
 
+    // A delta that does not lead to the digest that control checked is not used: the whole set is read instead.
+    function applyDelta(delta: ConfigurationDelta, newRevision: number): void {
+        if (delta.baseVersion !== version) return;
+        const dropped = new Set([...delta.removed, ...(delta.changed as readonly ConfigurationObject[]).map(getObjectKey)]);
+        const kept = objects.listAll().filter(object => !dropped.has(getObjectKey(object)));
+        const merged = [...kept, ...delta.changed as readonly ConfigurationObject[]];
+        if (delta.version !== version && getSetDigest(merged) !== delta.digest) {
+            log.error("A delta of the configuration does not fit. The whole set is read.", { version: delta.version });
+            isWholeWanted = true;
+            return;
+        }
+        revision = newRevision;
+        putInForce({ version: delta.version, digest: delta.digest, objects: merged, quarantined: delta.quarantined });
+    }
+
     // A control VM that lags may answer with an older configuration, which is left alone.
     function putInForce(view: ConfigurationView): void {
         if (view.version < version) return;
         const accepted = view.objects as readonly ConfigurationObject[];
         if (view.version > version) {
-            assert(getDigest(accepted) === view.digest, "the published set has the digest that control checked");
+            assert(getSetDigest(accepted) === view.digest, "the published set has the digest that control checked");
             log.info("A configuration is in force.", { version: view.version });
         }
         version = view.version;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -61,9 +61,10 @@
 const announceRetryMs = 500;
 const drainPollMs = 50;
 const closeTimeoutMs = 10_000;
-/** Each agent's reports come at this pace at the fastest, and all of them together no faster than one in the other. */
+/** Each agent's reports come at this pace at the fastest. Each agent beyond the first few slows all of them. */
 const minReportMs = 100;
-const reportShareMs = 10;
+const unpacedServers = 16;
+const reportShareMs = 50;
 const fleetPollMs = 10_000;
 
 /** Creates an entry. It is not ready until control has confirmed a configuration. */
@@ -108,9 +109,11 @@
     ]);
     const api: EntryApi = {
         async report(report) {
-            routing.learn(report, host.clock.nowMs());
+            const isKnown = routing.learn(report, host.clock.nowMs());
             queue.notify();
-            return { nextReportMs: Math.max(minReportMs, routing.getServerCount() * reportShareMs) };
+            const nextReportMs = Math.max(minReportMs, (routing.getServerCount() - unpacedServers) * reportShareMs);
+            routing.setReportPace(nextReportMs);
+            return { nextReportMs, wantsAgent: !isKnown };
         },
     };
 
--- a/src/entry/routing/router.ts
+++ b/src/entry/routing/router.ts
@@ -17,7 +17,8 @@
 
 /** The router of one entry. */
 export interface Router {
-    learn(report: LoadReport, nowMs: number): void;
+    /** Takes a report in. False when the backend server's announcement is not known yet. */
+    learn(report: LoadReport, nowMs: number): boolean;
     /** Chooses a backend server, or undefined when none can take the request. */
     choose(request: RouteRequest, nowMs: number): Choice | undefined;
     /** Counts an attempt until the returned function is called. */
@@ -28,6 +29,8 @@
     /** True when some backend server of the pool has room for one more. */
     hasRoom(pool: string, nowMs: number): boolean;
     getServerCount(): number;
+    /** Tells how often reports are asked for, so that a slow pace is not taken for silence. */
+    setReportPace(reportMs: number): void;
     countCandidates(pool: string, nowMs: number): number;
     isCurrent(backendServer: BackendServerName, incarnation: string): boolean;
     getFailureDomain(backendServer: BackendServerName): string | undefined;
@@ -76,6 +79,7 @@
     const ejection = createEjection();
     const sampleSize = options.sampleSize ?? defaultSampleSize;
     let turn = 0;
+    let paceMs = 0;
 
     const choosers: Readonly<Record<RoutingPolicy, Chooser>> = {
         expectedCompletion: chooseByExpectation,
@@ -134,16 +138,20 @@
             return sample(servers).some(server => isPresent(server, nowMs) && isRoomy(server));
         },
         getServerCount: () => byName.size,
+        setReportPace(reportMs) {
+            paceMs = reportMs;
+        },
         countCandidates: (pool, nowMs) => (pools.get(pool) ?? []).filter(server => isPresent(server, nowMs)).length,
         isCurrent: (backendServer, incarnation) => byName.get(backendServer)?.candidate.agent.incarnation === incarnation,
         getFailureDomain: backendServer => byName.get(backendServer)?.candidate.agent.failureDomain,
     };
 
-    function learn(report: LoadReport, nowMs: number): void {
-        const { agent } = report;
-        const known = byName.get(agent.backendServer);
-        const isSame = known?.candidate.agent.incarnation === agent.incarnation;
-        if (known !== undefined && isSame && report.sequence < known.sequence) return;
+    function learn(report: LoadReport, nowMs: number): boolean {
+        const known = byName.get(report.backendServer);
+        const isSame = known?.candidate.agent.incarnation === report.incarnation;
+        const agent = report.agent ?? (isSame ? known?.candidate.agent : undefined);
+        if (agent === undefined) return false;
+        if (known !== undefined && isSame && report.sequence < known.sequence) return true;
         if (known !== undefined && !isSame) {
             // A restart: its cache is cold, and its failures are behind it.
             prefixes.forget(agent.backendServer);
@@ -170,6 +178,7 @@
         prefixes.remove(agent.backendServer, report.cacheRemoved);
         prefixes.add(agent.backendServer, report.cacheAdded, nowMs);
         dropGone(agent.pool, nowMs);
+        return true;
     }
 
     function addServer(candidate: Candidate, sequence: number): void {
@@ -207,7 +216,7 @@
 
     function isPresent(server: Server, nowMs: number): boolean {
         const { candidate } = server;
-        return !candidate.isLeaving && candidate.isHealthy && nowMs - candidate.reportedAtMs < goneAfterMs;
+        return !candidate.isLeaving && candidate.isHealthy && nowMs - candidate.reportedAtMs < goneAfterMs + paceMs;
     }
 
     function isRoomy(server: Server): boolean {
@@ -249,7 +258,7 @@
         const waitMs = waiting * server.meanDurationMs / candidate.agent.maxConcurrent;
         const loadShare = getOutstanding(server) / candidate.agent.maxConcurrent;
         const distanceMs = candidate.agent.failureDomain === request.failureDomain ? 0 : otherDomainMs;
-        const staleMs = Math.max(0, nowMs - candidate.reportedAtMs - staleAfterMs);
+        const staleMs = Math.max(0, nowMs - candidate.reportedAtMs - staleAfterMs - paceMs);
         return (prefillMs + waitMs + defaultFirstTokenMs * loadShare) * getSlowStartFactor(candidate, nowMs) + distanceMs + staleMs;
     }
 
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -6,6 +6,7 @@
 import { commandSchemas, loadReportSchema, querySchemas } from "./messages.js";
 import type {
     CommandKind,
+    ConfigurationDelta,
     ConfigurationView,
     ControlReply,
     EngineOrder,
@@ -47,6 +48,8 @@
 export interface WatchReply {
     readonly revision: number;
     readonly configuration?: ConfigurationView;
+    /** In place of the whole where control still holds what changed since the node's version. */
+    readonly delta?: ConfigurationDelta;
     readonly recalledBudgets: readonly string[];
 }
 
@@ -140,6 +143,8 @@
 /** Answer to a load report. */
 export interface ReportReply {
     readonly nextReportMs: number;
+    /** True when the entry does not know this incarnation's announcement. */
+    readonly wantsAgent: boolean;
 }
 
 /** Procedures of an entry. */
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -306,6 +306,17 @@
     readonly quarantined: readonly QuarantineView[];
 }
 
+/** What one change did to the set. The digest is that of the whole set after it. */
+export interface ConfigurationDelta {
+    readonly baseVersion: number;
+    readonly version: number;
+    readonly digest: string;
+    readonly changed: readonly unknown[];
+    /** Kind and name of each object that was taken away. */
+    readonly removed: readonly string[];
+    readonly quarantined: readonly QuarantineView[];
+}
+
 /** One lease as operators see it. */
 export interface LeaseView {
     readonly leaseId: string;
@@ -328,7 +339,10 @@
 
 /** Load of one backend server, as its agent reports it to entries. */
 export const loadReportSchema = z.object({
-    agent: agentSchema,
+    backendServer: name,
+    incarnation: name,
+    /** The announcement, in the first report and whenever it changes or an entry asks for it. */
+    agent: agentSchema.optional(),
     sequence: z.number().int().nonnegative(),
     isLeaving: z.boolean(),
     /** False while the backend server does not answer its agent. */
--- a/src/kernel/objects.ts
+++ b/src/kernel/objects.ts
@@ -1,5 +1,6 @@
 /** The objects of a configuration set. Every schema is strict: an unknown field is a problem. */
 import { z } from "zod";
+import { getDigest } from "./digest.js";
 
 const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, "must be letters, digits, dots, dashes or underscores");
 const sha256 = z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hexadecimal");
@@ -91,13 +92,25 @@
 export interface ObjectIndex {
     get<K extends ObjectKindName>(kind: K, objectName: string): ObjectsByKind[K] | undefined;
     list<K extends ObjectKindName>(kind: K): readonly ObjectsByKind[K][];
+    listAll(): readonly ConfigurationObject[];
+}
+
+/** Kind and name of an object, which are unique together. */
+export function getObjectKey(object: ConfigurationObject): string {
+    return `${object.kind}/${object.name}`;
+}
+
+/** Digest of a whole set, whatever the order of its objects. */
+export function getSetDigest(objects: readonly ConfigurationObject[]): string {
+    return getDigest(Object.fromEntries(objects.map(object => [getObjectKey(object), object])));
 }
 
 /** Creates look-ups over a checked set. */
 export function createObjectIndex(objects: readonly ConfigurationObject[]): ObjectIndex {
-    const byKey = new Map(objects.map(object => [`${object.kind}/${object.name}`, object]));
+    const byKey = new Map(objects.map(object => [getObjectKey(object), object]));
     return {
         get: (kind, objectName) => byKey.get(`${kind}/${objectName}`) as never,
+        listAll: () => objects,
         list: kind => objects.filter(object => object.kind === kind) as never,
     };
 }
--- a/test/durability.test.ts
+++ b/test/durability.test.ts
@@ -247,3 +247,26 @@
     t.ok(records.filter(record => record.isRight).length >= 7, `${records.filter(record => record.isRight).length} of 9`);
     t.ok(records.filter(record => !record.isRight).every(record => record.verdict !== "not-run" || record.status >= 500));
 });
+
+test("a change reaches entries as a delta, also after missed ones", async t => {
+    const fleet = await start(35);
+    const { world, operator } = fleet;
+    const ip = fleet.entries[0]!.vm.ip;
+    const names = ["a", "b"];
+    for (let count = 0; count < 6; count++) {
+        if (count === 2) world.setPartition((from, to) => from === ip && to.startsWith("10.0.1"));
+        if (count === 5) world.heal();
+        names.push(`extra-${count}`);
+        const gone = count === 4 ? names.filter(name => name !== "extra-1") : names;
+        const { version } = fleet.getLeader()!.process!.part.state.getConfiguration();
+        const input = { baseVersion: version, changeId: `c${count}`, objects: [...createSet(gone, "cascade")], actor: "t" };
+        t.match(await world.runUntil(operator.submit("configuration.apply", input, { timeoutMs: 5_000 })), {
+            result: { outcome: "accepted" },
+        });
+        await world.advance(1_000);
+    }
+    await world.advance(15_000);
+    const { version } = fleet.getLeader()!.process!.part.state.getConfiguration();
+    t.ok(fleet.entries.every(entry => entry.process!.part.getVersion() === version));
+    t.notOk(world.logLines.some(line => line.includes("does not fit")));
+});
