--- /dev/null
+++ b/test/policies.test.ts
@@ -0,0 +1,178 @@
+/** Single decisions: fairness, limits, retries, ejection, quarantine, orders and control's time. */
+import { test } from "tap";
+import { policies } from "../bench/fleet.js";
+import { createAnnouncement } from "../bench/reports.js";
+import { createModelEngineAdapter } from "../src/agent/adapters/modelEngine.js";
+import { createAuditTrail } from "../src/control/plugins/audit.js";
+import { createFleet as createFleetState } from "../src/control/plugins/fleet.js";
+import { createOrders } from "../src/control/plugins/orders.js";
+import { createQuarantine } from "../src/control/plugins/quarantine.js";
+import { createFairQueue } from "../src/entry/fairQueue.js";
+import { createAccountLimits } from "../src/entry/rateLimit.js";
+import { createRetryBudget } from "../src/entry/retryBudget.js";
+import { createEjection } from "../src/entry/routing/ejection.js";
+import { createControlTimeBound } from "../src/kernel/controlTime.js";
+import type { EngineOrder, QueryResults, Suspicion } from "../src/kernel/messages.js";
+import { createObjectIndex, policySchema } from "../src/kernel/objects.js";
+import type { ApplyContext } from "../src/kernel/registry.js";
+import { createFakeWorld } from "../src/standins/fakeHost.js";
+import { createModelEngine } from "../src/standins/modelEngine.js";
+import { createWeightStore } from "../src/standins/weightStore.js";
+
+function createContext(nowMs: number, term = 1): ApplyContext {
+    return { index: nowMs + 1, term, nowMs, wallMs: nowMs, operationId: `op-${nowMs}` };
+}
+
+test("a large account does not starve small ones, nor interactive work batch", async t => {
+    const world = createFakeWorld(1);
+    const { host } = world.createVm("10.0.0.1");
+    let room = 0;
+    const queue = createFairQueue(host, { hasRoom: () => room > 0, maxWaiting: 1_000, maxWaitingPerAccount: 500 });
+    const order: string[] = [];
+    const enter = async (clientAccount: string, serviceClass: "interactive" | "batch") => {
+        const { signal } = new AbortController();
+        await queue.enter({ pool: "p", clientAccount, weight: 1, serviceClass, costTokens: 100, deadlineMs: Infinity, signal });
+        room--;
+        order.push(`${clientAccount}/${serviceClass}`);
+    };
+    for (let count = 0; count < 50; count++) void enter("large", "interactive");
+    for (let count = 0; count < 3; count++) void enter("small", "interactive");
+    void enter("night", "batch");
+    for (let turn = 0; turn < 12; turn++) {
+        room++;
+        await world.advance(100);
+    }
+    t.ok(order.slice(0, 8).filter(item => item === "small/interactive").length === 3, order.join(" "));
+    t.ok(order.slice(0, 10).includes("night/batch"), order.join(" "));
+});
+
+test("a full line refuses as not run", async t => {
+    const world = createFakeWorld(2);
+    const { host } = world.createVm("10.0.0.1");
+    const queue = createFairQueue(host, { hasRoom: () => false, maxWaiting: 2, maxWaitingPerAccount: 2 });
+    const { signal } = new AbortController();
+    const enter = () =>
+        queue.enter({ pool: "p", clientAccount: "a", weight: 1, serviceClass: "interactive", costTokens: 1, deadlineMs: 500, signal });
+    const waiting = [enter(), enter()];
+    await t.rejects(enter(), { verdict: { kind: "notRun", code: "queueFull" } });
+    for (const late of waiting) late.catch(() => undefined);
+    await world.advance(1_000);
+    for (const late of waiting) await t.rejects(late, { verdict: { kind: "notRun", code: "overloaded" } });
+});
+
+test("an account's rate and concurrency are divided among the entries", t => {
+    const policy = policySchema.parse({ ...policies.cascade, maxConcurrentRequests: 4, requestsPerSecond: 2, burstRequests: 3 });
+    const limits = createAccountLimits(() => 2);
+    const kinds = Array.from({ length: 4 }, () => limits.tryEnter("a", policy, 0).kind);
+    t.same(kinds, ["admitted", "admitted", "concurrencyLimited", "concurrencyLimited"]);
+    limits.leave("a");
+    limits.leave("a");
+    t.equal(limits.tryEnter("a", policy, 0).kind, "admitted");
+    t.match(limits.tryEnter("a", policy, 0), { kind: "rateLimited", retryAfterMs: 1_000 });
+    t.equal(limits.tryEnter("a", policy, 1_000).kind, "admitted");
+    t.end();
+});
+
+test("retries stay a tenth of the requests", t => {
+    const budget = createRetryBudget();
+    let taken = 0;
+    for (let count = 0; count < 1_000; count++) {
+        budget.noteRequest();
+        if (budget.tryTake()) taken++;
+    }
+    t.ok(taken <= 103 && taken > 90, `${taken} retries`);
+    t.end();
+});
+
+test("ejection leaves most of the fleet in and lets one request try again", t => {
+    const ejection = createEjection();
+    ejection.setFleetSize(5);
+    for (let server = 0; server < 5; server++) {
+        for (let count = 0; count < 3; count++) ejection.note(`s${server}`, "failed", 0);
+    }
+    t.equal([0, 1, 2, 3, 4].filter(server => ejection.isEjected(`s${server}`, 1)).length, 2);
+    t.ok(ejection.isOnProbation("s0"));
+    ejection.note("s0", "good", 10_000);
+    t.notOk(ejection.isOnProbation("s0") || ejection.isEjected("s0", 10_001));
+    t.end();
+});
+
+test("two crashes quarantine a request, and a lost failure domain quarantines nobody", t => {
+    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    const report = (fingerprint: string, server: number, failureDomain: string, nowMs: number, isSolo = false): Suspicion => {
+        const crash = { fingerprint, requestId: "r", backendServer: `s${server}`, incarnation: `i${server}`, failureDomain, isSolo };
+        return plugin.commands!["quarantine.report"]!({ crashes: [crash] }, createContext(nowMs)).suspicions[fingerprint]!;
+    };
+    for (let server = 0; server < 6; server++) report("innocent", server, "lost-domain", 100 + server);
+    t.equal(listQuarantined().length, 0);
+    t.equal(report("bad", 10, "d1", 60_000), "suspect");
+    t.equal(report("bad", 10, "d1", 60_001), "suspect", "one crash that two entries report counts once");
+    t.equal(report("bad", 11, "d2", 90_000, true), "quarantined");
+    t.equal(report("other", 12, "d3", 120_000), "suspect");
+    plugin.commands!["quarantine.exonerate"]!({ fingerprint: "other" }, createContext(121_000));
+    t.equal(report("other", 13, "d3", 200_000), "suspect", "a run that finished cleared it");
+    t.equal(report("bad", 14, "d4", 90_000 + 3_600_001), "suspect", "the quarantine expired");
+    t.end();
+});
+
+function createOrderPlan(maxLoadsPerMinute: number) {
+    const fleet = createFleetState(createAuditTrail().write, () => []);
+    for (let index = 0; index < 3; index++) {
+        fleet.plugin.commands!["fleet.announceAgent"]!({ agent: { ...createAnnouncement(index), pool: "p" } }, createContext(0));
+    }
+    const pool = {
+        kind: "backendServerPool",
+        name: "p",
+        backendServerKind: "modelEngine",
+        artifacts: ["lora-1"],
+        maxLoadsPerMinute,
+    } as const;
+    const orders = createOrders({ getObjects: () => createObjectIndex([pool]), fleet: fleet.state });
+    const list = (index: number, nowMs: number): QueryResults["orders.for"] =>
+        orders.queries!["orders.for"]!({ backendServer: `engine-${index}` }, nowMs);
+    return { orders, list };
+}
+
+test("loads are spaced by the weight store's rate and carry the leader's fencing number", async t => {
+    const { orders, list } = createOrderPlan(6);
+    t.equal(orders.commands!["orders.plan"]!({}, createContext(0, 3)).planned, 3);
+    t.equal(orders.commands!["orders.plan"]!({}, createContext(1, 4)).planned, 0, "nothing is ordered twice");
+    const due = [0, 10_000, 20_000].map(nowMs => [0, 1, 2].filter(index => list(index, nowMs).orders.length > 0).length);
+    t.same(due, [1, 2, 3]);
+    t.equal(list(0, 0).epoch, 4);
+    const world = createFakeWorld(3);
+    const store = createWeightStore(world.createVm("10.0.0.9").host, 6);
+    const vm = world.createVm("10.0.0.8");
+    await vm.host.network.serve({ address: "10.0.0.9:1", handler: store.handle, maxBodyBytes: 1 });
+    for (let load = 0; load < 3; load++) {
+        await world.runUntil(vm.host.network.request("10.0.0.9:1", { method: "GET", path: "/lora-1" }));
+        await world.advance(10_000);
+    }
+    t.same([store.getServedCount(), store.getRefusedCount()], [3, 0]);
+});
+
+test("an engine that checks fencing refuses an old order", async t => {
+    const world = createFakeWorld(4);
+    const vm = world.createVm("10.0.3.1");
+    const engine = createModelEngine(vm.host, { checksFencing: true });
+    await vm.host.network.serve({ address: "10.0.3.1:9000", handler: engine.handle, maxBodyBytes: 1e6 });
+    const adapter = createModelEngineAdapter(vm.host, "10.0.3.1:9000");
+    const order: EngineOrder = { orderId: 1, epoch: 5, backendServer: "e", action: "load", artifact: "lora-1", notBeforeMs: 0 };
+    t.ok(await world.runUntil(adapter.applyOrder(order)));
+    t.notOk(await world.runUntil(adapter.applyOrder({ ...order, epoch: 4, action: "unload" })));
+    t.ok(engine.loadedArtifacts.has("lora-1"));
+});
+
+test("control's time is bounded from above, whatever answer is old", t => {
+    let nowMs = 0;
+    const bound = createControlTimeBound({ nowMs: () => nowMs, wallMs: () => 0 });
+    t.notOk(bound.isBefore(1e12), "nothing may be spent before control has answered");
+    nowMs = 100;
+    bound.learn(5_000, 50);
+    t.ok(bound.getUpperMs() >= 5_050 && bound.getUpperMs() < 5_051);
+    bound.learn(9_000, 100);
+    t.ok(bound.getUpperMs() < 5_051, "a later bound never lifts an earlier one");
+    nowMs = 10_000;
+    t.ok(bound.getUpperMs() >= 14_950);
+    t.end();
+});
