Exit with code 2 on wrong use, in every program

Cause: clipanion's own run answers wrong use with exit code 1, where the operators' pages promise 2. Change: one function runs every program and tells wrong use from failure.

--- a/src/programs/lovage-agent.ts
+++ b/src/programs/lovage-agent.ts
@@ -1,10 +1,11 @@
 /** `lovage-agent`: the small process beside each backend server. */
-import { Builtins, Cli, Command, Option } from "clipanion";
+import { Command, Option } from "clipanion";
 import type { Host } from "../kernel/host.js";
 import type { BackendServerKind } from "../kernel/types.js";
 import { startAgent } from "../wiring.js";
 import type { RunningProcess } from "../wiring.js";
 import { ProcessCommand } from "./processCommand.js";
+import { runProgram } from "./runProgram.js";
 import { readAddress, readChoice, readCount, readNames, readText } from "./settings.js";
 
 const kinds: readonly BackendServerKind[] = ["modelEngine", "plainService"];
@@ -59,6 +60,4 @@
     }
 }
 
-const cli = new Cli({ binaryLabel: "lovage-agent", binaryName: "lovage-agent" });
-for (const command of [RunCommand, Builtins.HelpCommand]) cli.register(command);
-void cli.runExit(process.argv.slice(2));
+void runProgram("lovage-agent", [RunCommand]);
--- a/src/programs/lovage-control.ts
+++ b/src/programs/lovage-control.ts
@@ -1,11 +1,12 @@
 /** `lovage-control`: one voter of the replicated, durable state. */
-import { Builtins, Cli, Command, Option } from "clipanion";
+import { Command, Option } from "clipanion";
 import type { Member } from "../control/log/types.js";
 import type { Host } from "../kernel/host.js";
 import { getErrorText } from "../kernel/tasks.js";
 import { initializeControl, startControl } from "../wiring.js";
 import type { RunningProcess } from "../wiring.js";
 import { exitCodes, ProcessCommand } from "./processCommand.js";
+import { runProgram } from "./runProgram.js";
 import { readAddress, readSecret, readText, readTls, SettingError } from "./settings.js";
 
 const defaultGroup = "lovagefold";
@@ -116,6 +117,4 @@
     }
 }
 
-const cli = new Cli({ binaryLabel: "lovage-control", binaryName: "lovage-control" });
-for (const command of [RunCommand, InitCommand, Builtins.HelpCommand]) cli.register(command);
-void cli.runExit(process.argv.slice(2));
+void runProgram("lovage-control", [RunCommand, InitCommand]);
--- a/src/programs/lovage-dev.ts
+++ b/src/programs/lovage-dev.ts
@@ -1,5 +1,5 @@
 /** `lovage-dev`: all roles in one process on loopback, before stand-in backend servers, for a first run. */
-import { Builtins, Cli, Command, Option } from "clipanion";
+import { Command, Option } from "clipanion";
 import { mkdtemp, readFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -14,6 +14,7 @@
 import { initializeControl, startAgent, startControl, startEntry } from "../wiring.js";
 import type { RunningProcess } from "../wiring.js";
 import { exitCodes, waitForStopSignal } from "./processCommand.js";
+import { runProgram } from "./runProgram.js";
 import { readAddress, readLogLevel, SettingError } from "./settings.js";
 
 const operatorToken = "dev-operator";
@@ -186,6 +187,4 @@
     }
 }
 
-const cli = new Cli({ binaryLabel: "lovage-dev", binaryName: "lovage-dev" });
-for (const command of [DevCommand, Builtins.HelpCommand]) cli.register(command);
-void cli.runExit(process.argv.slice(2));
+void runProgram("lovage-dev", [DevCommand]);
--- a/src/programs/lovage-entry.ts
+++ b/src/programs/lovage-entry.ts
@@ -1,9 +1,10 @@
 /** `lovage-entry`: the fleet's door for callers. */
-import { Builtins, Cli, Command, Option } from "clipanion";
+import { Command, Option } from "clipanion";
 import type { Host } from "../kernel/host.js";
 import { startEntry } from "../wiring.js";
 import type { RunningProcess } from "../wiring.js";
 import { ProcessCommand } from "./processCommand.js";
+import { runProgram } from "./runProgram.js";
 import { readAddress, readTls } from "./settings.js";
 
 class RunCommand extends ProcessCommand {
@@ -35,6 +36,4 @@
     }
 }
 
-const cli = new Cli({ binaryLabel: "lovage-entry", binaryName: "lovage-entry" });
-for (const command of [RunCommand, Builtins.HelpCommand]) cli.register(command);
-void cli.runExit(process.argv.slice(2));
+void runProgram("lovage-entry", [RunCommand]);
--- a/src/programs/lovagectl.ts
+++ b/src/programs/lovagectl.ts
@@ -1,7 +1,7 @@
 /** `lovagectl`: the operators' command line. */
-import { Builtins, Cli } from "clipanion";
 import * as configurationCommands from "../operator/configurationCommands.js";
 import * as stateCommands from "../operator/stateCommands.js";
+import { runProgram } from "./runProgram.js";
 
 const { ApplyCommand, DiffCommand, ExportCommand, ValidateCommand } = configurationCommands;
 const {
@@ -38,10 +38,6 @@
     ValidateCommand,
     VotersListCommand,
     VotersReplaceCommand,
-    Builtins.HelpCommand,
-    Builtins.VersionCommand,
 ];
 
-const cli = new Cli({ binaryLabel: "lovagectl", binaryName: "lovagectl", binaryVersion: "0.1.0" });
-for (const command of commands) cli.register(command);
-void cli.runExit(process.argv.slice(2));
+void runProgram("lovagectl", commands);
--- a/src/programs/processCommand.ts
+++ b/src/programs/processCommand.ts
@@ -33,7 +33,7 @@
             return exitCodes.ok;
         }
         catch (error) {
-            this.context.stderr.write(`${this.path.at(-1) ?? "lovagefold"}: ${getErrorText(error)}\n`);
+            this.context.stderr.write(`${this.cli.binaryName}: ${getErrorText(error)}\n`);
             return error instanceof SettingError ? exitCodes.badSettings : exitCodes.failed;
         }
     }
