--- a/bench/logBench.ts
+++ b/bench/logBench.ts
@@ -5,6 +5,7 @@
 import type { Control } from "../src/control/control.js";
 import type { Host } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { initializeControl, startControl } from "../src/wiring.js";
 import type { RunningProcess } from "../src/wiring.js";
 import { createSet } from "./fleet.js";
@@ -33,11 +34,7 @@
     const host = createNodeHost({ fleetSecret: "bench", createLogger: quiet });
     const folder = await mkdtemp(join(tmpdir(), "lovage-bench-"));
     const addresses: string[] = [];
-    for (let index = 0; index < size; index++) {
-        const listener = await host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
-        addresses.push(listener.address);
-        await listener.close();
-    }
+    for (let index = 0; index < size; index++) addresses.push(await findFreeAddress(host));
     const members = addresses.map((address, index) => ({ voterId: `v${index}`, address, failureDomain: `d${index}` }));
     const processes: RunningProcess<Control>[] = [];
     for (const [index, member] of members.entries()) {
--- a/bench/overheadBench.ts
+++ b/bench/overheadBench.ts
@@ -6,6 +6,7 @@
 import type { Host } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
+import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createModelEngine } from "../src/standins/modelEngine.js";
 import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
 import { createSet, getKey } from "./fleet.js";
@@ -36,11 +37,7 @@
 }
 
 async function startPath(host: Host, folder: string, engineAddress: string): Promise<string> {
-    const free = async () => {
-        const listener = await host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
-        await listener.close();
-        return listener.address;
-    };
+    const free = () => findFreeAddress(host);
     const listen = await free();
     const self = { voterId: "v", address: listen, failureDomain: "d" };
     const common = { failureDomain: "d", controlAddresses: [listen] };
--- a/bench/trial.ts
+++ b/bench/trial.ts
@@ -13,6 +13,7 @@
 import { createAdministrationClient } from "../src/operator/client.js";
 import type { AdministrationClient } from "../src/operator/client.js";
 import { createRandom } from "../src/standins/fakeHost.js";
+import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { countPromptTokens, createModelEngine, getExpectedAnswer } from "../src/standins/modelEngine.js";
 import { createPlainService } from "../src/standins/plainService.js";
 import { sendChat, sendOrder } from "./caller.js";
@@ -69,11 +70,8 @@
 const isBroken = result.overspendTokens + result.doubleBills + result.doubleRuns + result.notRunThatRan + result.wrongAnswers > 0;
 process.exit(isBroken ? 1 : 0);
 
-async function findFreeAddresses(count: number): Promise<readonly string[]> {
-    const serve = () => host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
-    const listeners = await Promise.all(Array.from({ length: count }, serve));
-    await Promise.all(listeners.map(listener => listener.close()));
-    return listeners.map(listener => listener.address);
+function findFreeAddresses(count: number): Promise<readonly string[]> {
+    return Promise.all(Array.from({ length: count }, () => findFreeAddress(host)));
 }
 
 async function createParts(): Promise<readonly Part[]> {
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -1,6 +1,6 @@
 /** Elections of one replica: pre-vote, vote, and the answers to both. */
 import { getErrorText, sleep, withTimeout } from "../../kernel/tasks.js";
-import type { ReplicaCore } from "./replica.js";
+import type { ReplicaCore } from "./replicaTypes.js";
 import { getVoters, hasQuorum } from "./types.js";
 import type { Member, VoteReply, VoteRequest, VoterId } from "./types.js";
 
--- a/src/control/log/peers.ts
+++ b/src/control/log/peers.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { Host } from "../../kernel/host.js";
 import { createRpcClients, rpc } from "../../kernel/rpc.js";
-import type { PeerCalls, Replica } from "./replica.js";
+import type { PeerCalls, Replica } from "./replicaTypes.js";
 import { appendRequestSchema, snapshotChunkSchema, voteRequestSchema } from "./types.js";
 import type { AppendReply, SnapshotReply, VoteReply } from "./types.js";
 
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -11,137 +11,13 @@
 import type { Address } from "../../kernel/types.js";
 import { createControlClock } from "./controlClock.js";
 import { createElection } from "./election.js";
-import { tryDecodeRecord } from "./records.js";
+import { createFollower } from "./follower.js";
+import { getLatestMembership, getMembershipAt } from "./members.js";
 import { createReplication } from "./replication.js";
 import type { Replication } from "./replication.js";
-import type { LogStore } from "./store.js";
+import type { BarrierResult, ProposeResult, Replica, ReplicaCore, ReplicaOptions, ReplicaState } from "./replicaTypes.js";
 import { getVoters } from "./types.js";
-import type {
-    AppendReply,
-    AppendRequest,
-    HardState,
-    LogEntry,
-    Member,
-    Membership,
-    Snapshot,
-    SnapshotChunk,
-    SnapshotReply,
-    VoteReply,
-    VoteRequest,
-    VoterId,
-} from "./types.js";
-
-/** What a replica is doing. */
-export type ReplicaRole = "follower" | "candidate" | "leader";
-
-/** Calls to the other replicas. */
-export interface PeerCalls {
-    vote(address: Address, request: VoteRequest): Promise<VoteReply>;
-    append(address: Address, request: AppendRequest): Promise<AppendReply>;
-    installSnapshot(address: Address, chunk: SnapshotChunk): Promise<SnapshotReply>;
-    startElection(address: Address, term: number): Promise<void>;
-}
-
-/** The state machine that entries are applied to. */
-export interface StateMachine {
-    apply(entry: Extract<LogEntry, { kind: "command"; }>, context: ApplyContext): unknown;
-    save(): unknown;
-    load(state: unknown): void;
-}
-
-/** Intervals of a replica. */
-export interface ReplicaTiming {
-    readonly heartbeatMs: number;
-    readonly electionTimeoutMs: number;
-    readonly callTimeoutMs: number;
-}
-
-/** Intervals that suit VMs a few milliseconds apart. */
-export const defaultTiming: ReplicaTiming = { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 300 };
-
-/** Options of a replica. */
-export interface ReplicaOptions {
-    readonly self: Member;
-    readonly store: LogStore;
-    readonly machine: StateMachine;
-    readonly calls: PeerCalls;
-    readonly timing: ReplicaTiming;
-    /** Entries between two snapshots. */
-    readonly snapshotEveryEntries: number;
-}
-
-/** Result of a proposal. */
-export type ProposeResult =
-    | { readonly kind: "applied"; readonly index: number; readonly controlTimeMs: number; readonly result: unknown; }
-    | { readonly kind: "notLeader"; readonly leaderAddress?: Address; }
-    /** Leadership ended before the outcome was known. A resend with the same operation id is safe. */
-    | { readonly kind: "unknown"; };
-
-/** Result of a read barrier. */
-export type BarrierResult =
-    | { readonly kind: "confirmed"; readonly index: number; readonly controlTimeMs: number; }
-    | { readonly kind: "notLeader"; readonly leaderAddress?: Address; };
-
-/** One replica of the log. */
-export interface Replica {
-    start(): void;
-    stop(): void;
-    propose(operationId: string, command: string, input: unknown): Promise<ProposeResult>;
-    /** Returns once a quorum has confirmed this leader and all that was committed before is applied. */
-    readBarrier(): Promise<BarrierResult>;
-    /** Adds a learner, then swaps it for an old voter by one joint change. */
-    replaceVoter(oldVoterId: VoterId, newMember: Member): Promise<ProposeResult>;
-    /** Hands leadership to the voter that is furthest on. Returns true when it did. */
-    handOver(): Promise<boolean>;
-    getStatus(): ReplicaStatus;
-    onVote(request: VoteRequest): Promise<VoteReply>;
-    onAppend(request: AppendRequest): Promise<AppendReply>;
-    onSnapshot(chunk: SnapshotChunk): Promise<SnapshotReply>;
-    onStartElection(term: number): void;
-}
-
-/** State of a replica, for operators and tests. */
-export interface ReplicaStatus {
-    readonly role: ReplicaRole;
-    readonly term: number;
-    readonly leaderId?: VoterId;
-    readonly leaderAddress?: Address;
-    readonly commitIndex: number;
-    readonly appliedIndex: number;
-    readonly lastIndex: number;
-    readonly membership: Membership;
-    /** True when a disk error keeps this replica from taking part. */
-    readonly hasDiskFailed: boolean;
-}
-
-/** State that the tasks of one replica share. */
-export interface ReplicaState {
-    role: ReplicaRole;
-    commitIndex: number;
-    appliedIndex: number;
-    membership: Membership;
-    leaderId: VoterId | undefined;
-    leaderAddress: Address | undefined;
-    lastLeaderContactMs: number;
-    hasDiskFailed: boolean;
-    isHandingOver: boolean;
-}
-
-/** What the election and the replication need of the replica. */
-export interface ReplicaCore {
-    readonly host: Host;
-    readonly options: ReplicaOptions;
-    readonly state: ReplicaState;
-    readonly stopSignal: AbortSignal;
-    getTerm(): number;
-    /** Runs work that reads and writes the hard state or the log, one at a time. */
-    exclusive<T>(work: () => Promise<T>): Promise<T>;
-    saveHardState(state: HardState): Promise<void>;
-    becomeFollower(term: number): Promise<void>;
-    becomeLeader(): void;
-    advanceCommit(index: number): void;
-    notifyApplied(): void;
-}
+import type { HardState, LogEntry, Member, Membership, Snapshot, VoterId } from "./types.js";
 
 interface Waiter {
     readonly term: number;
@@ -175,7 +51,6 @@
         isHandingOver: false,
     };
     let tail: Promise<unknown> = Promise.resolve();
-    let incomingSnapshot: { readonly index: number; readonly data: Buffer; receivedBytes: number; } | undefined;
     let replication: Replication | undefined;
     const core: ReplicaCore = {
         host,
@@ -189,7 +64,11 @@
         becomeLeader,
         advanceCommit,
         notifyApplied: () => applied.notify(),
+        onDiskError,
+        setLeader,
+        loadSnapshot,
     };
+    const follower = createFollower(core);
     const election = createElection(core);
     loadSnapshot(store.snapshot);
 
@@ -221,8 +100,8 @@
             hasDiskFailed: state.hasDiskFailed,
         }),
         onVote: election.onVote,
-        onAppend: request => exclusive(() => onAppend(request)),
-        onSnapshot: chunk => exclusive(() => onSnapshot(chunk)),
+        onAppend: follower.onAppend,
+        onSnapshot: follower.onSnapshot,
         onStartElection: election.startNow,
     };
 
@@ -409,92 +288,6 @@
         }
     }
 
-    async function onAppend(request: AppendRequest): Promise<AppendReply> {
-        const term = store.hardState.term;
-        if (request.term < term) return { term, isAppended: false, index: store.lastIndex };
-        if (request.term > term || state.role !== "follower") await becomeFollower(request.term);
-        setLeader(request.leaderId, request.leaderAddress);
-        state.lastLeaderContactMs = host.clock.nowMs();
-        const refusal = findGap(request);
-        if (refusal !== undefined) return { term: request.term, isAppended: false, index: refusal };
-        try {
-            await appendNew(request.entries);
-        }
-        catch (error) {
-            onDiskError(error);
-            throw error;
-        }
-        state.hasDiskFailed = false;
-        const matchIndex = request.previousIndex + request.entries.length;
-        advanceCommit(Math.min(request.commitIndex, matchIndex));
-        return { term: request.term, isAppended: true, index: matchIndex };
-    }
-
-    // The index to try next, when the entry before the request's entries is not held here.
-    function findGap(request: AppendRequest): number | undefined {
-        if (request.previousIndex <= state.commitIndex) return undefined;
-        if (request.previousIndex > store.lastIndex) return store.lastIndex;
-        const heldTerm = store.getTerm(request.previousIndex);
-        if (heldTerm === request.previousTerm) return undefined;
-        let index = request.previousIndex - 1;
-        while (index > state.commitIndex && store.getTerm(index) === heldTerm) index--;
-        return index;
-    }
-
-    async function appendNew(entries: readonly LogEntry[]): Promise<void> {
-        const firstNew = entries.findIndex(entry => entry.index > state.commitIndex && store.getTerm(entry.index) !== entry.term);
-        if (firstNew < 0) {
-            if (store.durableIndex < store.lastIndex) await store.append([]);
-            return;
-        }
-        const added = entries.slice(firstNew);
-        if (added[0]!.index <= store.lastIndex) {
-            assert(added[0]!.index > state.commitIndex, "a committed entry is never overwritten");
-            await store.truncateFrom(added[0]!.index);
-            state.membership = getLatestMembership(store);
-        }
-        await store.append(added);
-        for (const entry of added) {
-            if (entry.kind === "membership") state.membership = entry.membership;
-        }
-    }
-
-    async function onSnapshot(chunk: SnapshotChunk): Promise<SnapshotReply> {
-        const term = store.hardState.term;
-        if (chunk.term < term) return { term, receivedBytes: 0, isInstalled: false };
-        if (chunk.term > term || state.role !== "follower") await becomeFollower(chunk.term);
-        setLeader(chunk.leaderId, chunk.leaderAddress);
-        state.lastLeaderContactMs = host.clock.nowMs();
-        if (chunk.index <= state.commitIndex) return { term: chunk.term, receivedBytes: chunk.totalBytes, isInstalled: true };
-        if (incomingSnapshot?.index !== chunk.index || incomingSnapshot.data.length !== chunk.totalBytes) {
-            incomingSnapshot = { index: chunk.index, data: Buffer.alloc(chunk.totalBytes), receivedBytes: 0 };
-        }
-        if (chunk.offsetBytes === incomingSnapshot.receivedBytes) {
-            incomingSnapshot.receivedBytes += incomingSnapshot.data.write(chunk.dataBase64, chunk.offsetBytes, "base64");
-        }
-        const receivedBytes = incomingSnapshot.receivedBytes;
-        if (receivedBytes < chunk.totalBytes) return { term: chunk.term, receivedBytes, isInstalled: false };
-        const data = incomingSnapshot.data;
-        incomingSnapshot = undefined;
-        const record = tryDecodeRecord(data, 0);
-        if (record === undefined) return { term: chunk.term, receivedBytes: 0, isInstalled: false };
-        await installSnapshot(record.value as Snapshot);
-        return { term: chunk.term, receivedBytes, isInstalled: true };
-    }
-
-    async function installSnapshot(snapshot: Snapshot): Promise<void> {
-        try {
-            await store.installSnapshot(snapshot);
-        }
-        catch (error) {
-            onDiskError(error);
-            throw error;
-        }
-        loadSnapshot(snapshot);
-        state.membership = getLatestMembership(store);
-        log.info("A snapshot of the leader was installed.", { index: snapshot.index });
-    }
-
     function loadSnapshot(snapshot: Snapshot | undefined): void {
         if (snapshot === undefined) return;
         machine.load(snapshot.state);
@@ -555,20 +348,3 @@
         return !leading.isRunning();
     }
 }
-
-function getLatestMembership(store: LogStore): Membership {
-    return getMembershipAt(store, store.lastIndex);
-}
-
-function getMembershipAt(store: LogStore, index: number): Membership {
-    for (let at = index; at >= store.firstIndex; at--) {
-        const entry = store.getEntry(at);
-        if (entry?.kind === "membership") return entry.membership;
-    }
-    return store.snapshot?.membership ?? store.marker.founders;
-}
-
-/** True when the member counts in quorums now. */
-export function isVoter(membership: Membership, voterId: VoterId): boolean {
-    return getVoters(membership).some(voter => voter.voterId === voterId);
-}
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -1,7 +1,7 @@
 /** A leader's replication: one task for each peer, commitment, check-quorum and read confirmation. */
 import { createSignal, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
-import type { ReplicaCore } from "./replica.js";
+import type { ReplicaCore } from "./replicaTypes.js";
 import { getMembers, hasQuorum } from "./types.js";
 import type { AppendReply, AppendRequest, SnapshotReply, VoterId } from "./types.js";
 
--- a/src/control/stateMachine.ts
+++ b/src/control/stateMachine.ts
@@ -5,7 +5,7 @@
 import { getDigest } from "../kernel/digest.js";
 import type { CommandKind } from "../kernel/messages.js";
 import type { ApplyContext, Registry } from "../kernel/registry.js";
-import type { StateMachine } from "./log/replica.js";
+import type { StateMachine } from "./log/replicaTypes.js";
 
 /** What an applied command returns to its proposer. */
 export type ApplyOutcome =
--- a/src/control/tasks.ts
+++ b/src/control/tasks.ts
@@ -5,7 +5,7 @@
 import { createRpcClients } from "../kernel/rpc.js";
 import { createStopController, getErrorText, repeat, withTimeout } from "../kernel/tasks.js";
 import type { Incarnation } from "../kernel/types.js";
-import type { Replica } from "./log/replica.js";
+import type { Replica } from "./log/replicaTypes.js";
 import type { Lease } from "./plugins/budgets/types.js";
 import type { AgentRecord } from "./plugins/fleet.js";
 import type { ControlState } from "./plugins/index.js";
--- a/src/programs/lovage-dev.ts
+++ b/src/programs/lovage-dev.ts
@@ -9,6 +9,7 @@
 import { createNodeHost } from "../kernel/hostNode.js";
 import { createLoggerFactory } from "../kernel/log.js";
 import { getErrorText, sleep } from "../kernel/tasks.js";
+import { findFreeAddress } from "../standins/freeAddress.js";
 import { createModelEngine } from "../standins/modelEngine.js";
 import { createPlainService } from "../standins/plainService.js";
 import { initializeControl, startAgent, startControl, startEntry } from "../wiring.js";
@@ -171,14 +172,6 @@
     return routing.countCandidates("lovage-pool", nowMs) === engineCount && routing.countCandidates("shopdesk", nowMs) === serviceCount;
 }
 
-// An announced address must be known before the process that has it starts.
-async function findFreeAddress(host: Host): Promise<string> {
-    const handler = () => Promise.resolve();
-    const listener = await host.network.serve({ address: "127.0.0.1:0", handler, maxBodyBytes: 1 });
-    await listener.close();
-    return listener.address;
-}
-
 async function waitFor(host: Host, isMet: () => boolean, what: string): Promise<void> {
     const giveUpAtMs = host.clock.nowMs() + startTimeoutMs;
     while (!isMet()) {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -7,7 +7,7 @@
 import { createAdministration } from "./control/administration.js";
 import { createControl } from "./control/control.js";
 import type { Control } from "./control/control.js";
-import type { ReplicaTiming } from "./control/log/replica.js";
+import type { ReplicaTiming } from "./control/log/replicaTypes.js";
 import { formatStore } from "./control/log/store.js";
 import type { Member } from "./control/log/types.js";
 import type { leaseRules } from "./control/plugins/budgets/types.js";
--- a/test/logGroup.ts
+++ b/test/logGroup.ts
@@ -1,7 +1,7 @@
 /** A group of log replicas on fake hosts, with a state machine that keeps what it applied. */
 import { createPeerCalls, createRootRouter } from "../src/control/log/peers.js";
 import { createReplica } from "../src/control/log/replica.js";
-import type { Replica, StateMachine } from "../src/control/log/replica.js";
+import type { Replica, StateMachine } from "../src/control/log/replicaTypes.js";
 import { formatStore, openStore } from "../src/control/log/store.js";
 import type { LogStore } from "../src/control/log/store.js";
 import type { Member } from "../src/control/log/types.js";
--- a/test/realHost.test.ts
+++ b/test/realHost.test.ts
@@ -8,6 +8,7 @@
 import { createNodeHost, fleetSecretHeader, parseAddress } from "../src/kernel/hostNode.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { createAdministrationClient } from "../src/operator/client.js";
+import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createModelEngine, getExpectedAnswer } from "../src/standins/modelEngine.js";
 import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
 
@@ -32,12 +33,6 @@
     { kind: "route", name: "r", model, pool: "pool", serviceClass: "interactive", timeoutMs: 30_000, maxCompletionTokens: 32 },
 ];
 
-async function findFreeAddress(host: Host): Promise<string> {
-    const listener = await host.network.serve({ address: "127.0.0.1:0", handler: () => Promise.resolve(), maxBodyBytes: 1 });
-    await listener.close();
-    return listener.address;
-}
-
 async function startAll(host: Host, dataFolder: string) {
     const listen = await findFreeAddress(host);
     const common = { failureDomain: "d", controlAddresses: [listen] };
