Let a keyed request run on when its caller leaves; never bill an unfinished run by its reservation

Found by reading the code as the person on call would. Cause: (1) when the caller of a keyed request left, the run was stopped and its claim billed for a part, so that the retry got a whole answer for part of its price; (2) a non-idempotent chat whose caller left was billed its whole reservation while it still ran; (3) an agent forgot a non-idempotent request together with its answer, so that a dispatch delayed past that would have run again. Change: a keyed attempt is followed to its end without its caller; a cancel of work that must not be stopped answers 'running' and the entry asks again; ids of non-idempotent starts bar a second start.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -90,7 +90,7 @@
         maxRequests: announcement.maxConcurrent * (1 + queuedPerRunning),
         time: control.time,
         counters,
-        hasRequest: requestId => streams.get(requestId) !== undefined || runner.isCancelled(requestId),
+        hasRequest: requestId => streams.get(requestId) !== undefined || runner.mayNotStart(requestId),
     };
 
     const api: AgentApi = {
--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -24,8 +24,8 @@
     /** Starts a dispatch that the gate let through. Synchronous up to the start. */
     start(dispatch: Dispatch, body: Uint8Array): AnswerStream;
     cancel(request: CancelRequest): Promise<CancelReply>;
-    /** True when a cancel came before its attempt. */
-    isCancelled(requestId: string): boolean;
+    /** True when a cancel came before its attempt, or when work that must not run twice has started before. */
+    mayNotStart(requestId: string): boolean;
     /** Stops idempotent runs without a key whose answer nobody has read for a while. */
     stopOrphans(): void;
     /** True while a suspect runs, or waits to run, alone. */
@@ -64,7 +64,7 @@
     let isHalted = false;
 
     return {
-        isCancelled: requestId => cancelled.has(requestId),
+        mayNotStart: requestId => cancelled.has(requestId) || started.has(requestId),
         start(dispatch, body) {
             assert(!runs.has(dispatch.requestId), `request ${dispatch.requestId} runs already`);
             const stream = streams.open(
@@ -92,8 +92,8 @@
                 if (!isBilled) unbill(run);
                 return { state: "finished", billedTokens: run.billedTokens };
             }
-            // What may not be repeated runs to its end, and its bill stands.
-            if (!run.dispatch.isIdempotent) return { state: "finished", billedTokens: run.dispatch.lease?.reservedTokens ?? 0 };
+            // What may not be repeated runs to its end.
+            if (!run.dispatch.isIdempotent) return { state: "running", billedTokens: 0 };
             run.isStopBilled = isBilled;
             run.abort.abort();
             while (!run.isFinished) await sleep(host.timers, 5);
--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -12,7 +12,7 @@
 import type { AttemptTimes, Choice, RouteRequest } from "../routing/types.js";
 import type { Exchange, Work } from "../types.js";
 import { attach, openClaim } from "./claims.js";
-import { cancelAttempt, releaseClaim, settleAbandoned, settleFinished, settleNotRun } from "./settlement.js";
+import { cancelAttempt, releaseClaim, settleAbandoned, settleFinished, settleNotRun, settleUnattended } from "./settlement.js";
 import { reportCrash, reportFinishedSolo } from "./suspects.js";
 import type { Attempt, AttemptResult, DeliveryHost } from "./types.js";
 
@@ -303,6 +303,10 @@
 // The deadline passed, the caller left, or the backend server stalled.
 function onAborted(delivery: DeliveryHost, exchange: Exchange, attempt: Attempt, writer: AnswerWriter, hasStalled: boolean): AttemptResult {
     const isGone = exchange.request.signal.aborted;
+    if (isGone && attempt.claim !== undefined) {
+        delivery.background.run(() => settleUnattended(delivery, attempt));
+        return { kind: "delivered" };
+    }
     delivery.background.run(() => settleAbandoned(delivery, attempt, isGone || !attempt.isIdempotent));
     if (isGone) return { kind: "delivered" };
     if (!hasStalled) {
--- a/src/entry/delivery/settlement.ts
+++ b/src/entry/delivery/settlement.ts
@@ -6,6 +6,7 @@
 import { sleep, withTimeout } from "../../kernel/tasks.js";
 import { getBilledTokens } from "../../kernel/types.js";
 import type { TokenUsage } from "../../kernel/types.js";
+import { followAttempt } from "../attemptStream.js";
 import type { AttemptPlace } from "../attemptStream.js";
 import type { Attempt, DeliveryHost } from "./types.js";
 
@@ -13,6 +14,7 @@
 const settleWaitMs = 300;
 const finishTimeoutMs = 3_000;
 const cancelTimeoutMs = 1_000;
+const maxUnattendedMs = 10_000;
 const retryMs = 1_000;
 /** Silence after which an agent that nobody hears of counts as gone. */
 const agentGoneMs = 600_000;
@@ -79,7 +81,7 @@
     const sinceMs = delivery.host.clock.nowMs();
     for (;;) {
         const reply = await cancelAttempt(delivery, attempt.place, isBilled);
-        if (reply !== undefined) {
+        if (reply !== undefined && reply.state !== "running") {
             const billedTokens = reply.state === "unknown" ? 0 : Math.min(reply.billedTokens, attempt.reservation?.reservedTokens ?? 0);
             return billAbandoned(delivery, attempt, isBilled ? billedTokens : 0);
         }
@@ -93,6 +95,20 @@
     }
 }
 
+/** Follows a keyed attempt whose caller has gone to its end, because a retry will want the whole answer. */
+export async function settleUnattended(delivery: DeliveryHost, attempt: Attempt): Promise<void> {
+    const { signal } = new AbortController();
+    try {
+        for await (const frame of followAttempt(delivery.host, attempt.place, { signal, maxUnreachableMs: maxUnattendedMs })) {
+            if (frame.kind === "end") return await settleFinished(delivery, attempt, frame);
+            if (frame.kind === "failed") return attempt.reservation?.settle(attempt.place.incarnation, 0);
+        }
+    }
+    catch {
+        await settleAbandoned(delivery, attempt, true);
+    }
+}
+
 async function billAbandoned(delivery: DeliveryHost, attempt: Attempt, billedTokens: number): Promise<void> {
     if (attempt.claim !== undefined && billedTokens > 0) return finishClaim(delivery, attempt, billedTokens);
     attempt.reservation?.settle(attempt.place.incarnation, billedTokens);
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -183,8 +183,8 @@
 
 /** Answer to a cancel: what the attempt had come to. */
 export interface CancelReply {
-    /** `unknown` when the agent never started it, and it never will. */
-    readonly state: "unknown" | "stopped" | "finished";
+    /** `unknown` when the agent never started it, and it never will. `running` when it may not be stopped. */
+    readonly state: "unknown" | "stopped" | "finished" | "running";
     readonly billedTokens: number;
 }
 
--- a/test/durability.test.ts
+++ b/test/durability.test.ts
@@ -270,3 +270,52 @@
     t.ok(fleet.entries.every(entry => entry.process!.part.getVersion() === version));
     t.notOk(world.logLines.some(line => line.includes("does not fit")));
 });
+
+async function leaveAfter(fleet: Fleet, durationMs: number, headers: Record<string, string>): Promise<void> {
+    const { world, callerVm } = fleet;
+    const gone = new AbortController();
+    // The same bytes that sendChat sends, or the key would count as used with another body.
+    const messages = [{ role: "user", content: longAnswer.prompt }];
+    const body = { model: "lovage-pool", messages, max_tokens: longAnswer.maxTokens, stream: false };
+    const pending = callerVm.host.network.request(fleet.getEntryAddress(0), {
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { "authorization": "Bearer key-a", "content-type": "application/json", ...headers },
+        body: Buffer.from(JSON.stringify(body)),
+        signal: gone.signal,
+    });
+    pending.catch(() => undefined);
+    await world.advance(durationMs);
+    gone.abort();
+    await world.advance(200);
+}
+
+test("a caller with a key who leaves finds the whole answer later, run and billed once", async t => {
+    const fleet = await start(36);
+    const { world, callerVm } = fleet;
+    await leaveAfter(fleet, 300, { "idempotency-key": "left" });
+    const record = await world.runUntil(sendChat(callerVm.host, fleet.getEntryAddress(1), { ...longAnswer, idempotencyKey: "left" }));
+    t.match(record, { isWhole: true, isRight: true });
+    t.equal(fleet.engines.reduce((sum, engine) => sum + engine.runs.size, 0), 1);
+    await world.advance(20_000);
+    t.equal(getView(fleet, "budget-a").settledTokens, record.billedTokens);
+});
+
+test("a caller without a key who leaves stops the work and pays for what was generated", async t => {
+    const fleet = await start(37);
+    await leaveAfter(fleet, 500, {});
+    await fleet.world.advance(20_000);
+    const run = fleet.engines.flatMap(engine => [...engine.runs.values()])[0]!;
+    t.equal(run.state, "stopped");
+    const { settledTokens } = getView(fleet, "budget-a");
+    t.ok(settledTokens > 0 && settledTokens <= run.completionTokens + run.promptTokens, `${settledTokens} settled`);
+});
+
+test("a non-idempotent chat whose caller leaves runs to its end and is billed for it", async t => {
+    const fleet = await start(38);
+    await leaveAfter(fleet, 300, { "lovage-idempotent": "false" });
+    await fleet.world.advance(20_000);
+    const run = fleet.engines.flatMap(engine => [...engine.runs.values()])[0]!;
+    t.equal(run.state, "finished");
+    t.equal(getView(fleet, "budget-a").settledTokens, run.completionTokens + run.promptTokens);
+});
