Bill an answer that only a retry can have fetched

An entry that was cut from an agent gave its attempt up as a loser, and the agent took its bill back, but the caller's retry had fetched the same answer through another entry, which bills nothing. Change: a cancel says what is billed: nothing, a whole answer, or also a part. An attempt with a key is billed when it finished, and control's claim keeps that to one attempt of the key. Test: a retry behind a cut; it fails with the rule set back to 'nothing', and passes now.

--- a/src/agent/runner.ts
+++ b/src/agent/runner.ts
@@ -80,7 +80,7 @@
             void execute(run, body);
             return stream;
         },
-        async cancel({ requestId, isBilled }) {
+        async cancel({ requestId, bill }) {
             const run = runs.get(requestId);
             if (run === undefined) {
                 if (started.has(requestId)) return { state: "finished", billedTokens: 0 };
@@ -89,12 +89,12 @@
                 return { state: "unknown", billedTokens: 0 };
             }
             if (run.isFinished) {
-                if (!isBilled) unbill(run);
+                if (bill === "never") unbill(run);
                 return { state: "finished", billedTokens: run.billedTokens };
             }
             // What may not be repeated runs to its end.
             if (!run.dispatch.isIdempotent) return { state: "running", billedTokens: 0 };
-            run.isStopBilled = isBilled;
+            run.isStopBilled = bill === "generated";
             run.abort.abort();
             while (!run.isFinished) await sleep(host.timers, 5);
             return { state: "stopped", billedTokens: run.billedTokens };
--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt from reservation to settlement. */
+import type { CancelBill } from "../../kernel/contracts.js";
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Dispatch, Frame } from "../../kernel/messages.js";
 import { withTimeout } from "../../kernel/tasks.js";
@@ -214,7 +215,7 @@
     catch (error) {
         if (error instanceof AnswerLostError) return onLost(delivery, attempt, writer, error);
         if (!(error instanceof CrossedAnswerError)) throw error;
-        delivery.background.run(() => settleAbandoned(delivery, attempt, false));
+        delivery.background.run(() => settleAbandoned(delivery, attempt, getLostBill(attempt)));
         return { kind: "failed", verdict: createVerdict("mayHaveRun", "outcomeUnknown") };
     }
     finally {
@@ -290,16 +291,21 @@
     delivery.router.noteOutcome(attempt.backendServer, "failed", undefined, delivery.host.clock.nowMs());
     if (error.reason === "unknownRequest" && !writer.hasStarted) {
         // The dispatch may never have arrived. If so, the agent now promises that it never starts.
-        const reply = await cancelAttempt(delivery, attempt.place, false);
+        const reply = await cancelAttempt(delivery, attempt.place, "finished");
         if (reply?.state === "unknown") return refuseAttempt(delivery, attempt, createVerdict("notRun", "noBackendServer"));
     }
     const verdict = createVerdict("mayHaveRun", "outcomeUnknown");
     if (error.reason === "otherIncarnation") attempt.reservation?.settle(attempt.place.incarnation, 0);
-    else delivery.background.run(() => settleAbandoned(delivery, attempt, attempt.claim !== undefined && !attempt.isIdempotent));
+    else delivery.background.run(() => settleAbandoned(delivery, attempt, getLostBill(attempt)));
     if (!attempt.isIdempotent || writer.hasStarted) return { kind: "failed", verdict };
     return { kind: "again", verdict, isSolo: false, replacesRequestId: attempt.place.requestId };
 }
 
+// A retry with its key may still get the answer, also by way of another entry. Control bills one attempt of a key only.
+function getLostBill(attempt: Attempt): CancelBill {
+    return attempt.claim === undefined ? "never" : "finished";
+}
+
 // The deadline passed, the caller left, or the backend server stalled.
 function onAborted(delivery: DeliveryHost, exchange: Exchange, attempt: Attempt, writer: AnswerWriter, hasStalled: boolean): AttemptResult {
     const isGone = exchange.request.signal.aborted;
@@ -307,7 +313,7 @@
         delivery.background.run(() => settleUnattended(delivery, attempt));
         return { kind: "delivered" };
     }
-    delivery.background.run(() => settleAbandoned(delivery, attempt, isGone || !attempt.isIdempotent));
+    delivery.background.run(() => settleAbandoned(delivery, attempt, isGone ? "generated" : getLostBill(attempt)));
     if (isGone) return { kind: "delivered" };
     if (!hasStalled) {
         return { kind: "failed", verdict: createVerdict("mayHaveRun", "deadlineExceeded", "The deadline passed while the request ran.") };
--- a/src/entry/delivery/claims.ts
+++ b/src/entry/delivery/claims.ts
@@ -104,6 +104,6 @@
 // The agent's answer is also a promise: an attempt that comes after it is refused.
 async function hasNeverRun(delivery: DeliveryHost, claim: Claim): Promise<boolean> {
     const place: AttemptPlace = { address: claim.address, incarnation: claim.incarnation, requestId: claim.requestId };
-    const reply = await cancelAttempt(delivery, place, false);
+    const reply = await cancelAttempt(delivery, place, "finished");
     return reply?.state === "unknown";
 }
--- a/src/entry/delivery/settlement.ts
+++ b/src/entry/delivery/settlement.ts
@@ -2,7 +2,7 @@
  * Settlement of attempts. A keyed request is billed through its claim, so that of two attempts that both
  * finish only one is. What control or an agent cannot confirm now is owed, and its reservation stays held.
  */
-import type { CancelReply } from "../../kernel/contracts.js";
+import type { CancelBill, CancelReply } from "../../kernel/contracts.js";
 import { sleep, withTimeout } from "../../kernel/tasks.js";
 import { getBilledTokens } from "../../kernel/types.js";
 import type { TokenUsage } from "../../kernel/types.js";
@@ -68,8 +68,8 @@
 const maxReleaseTries = 600;
 
 /** Asks an agent to stop an attempt. Undefined when it cannot be reached. */
-export async function cancelAttempt(delivery: DeliveryHost, place: AttemptPlace, isBilled: boolean): Promise<CancelReply | undefined> {
-    const call = delivery.agents.get(place.address).cancel.mutate({ requestId: place.requestId, isBilled });
+export async function cancelAttempt(delivery: DeliveryHost, place: AttemptPlace, bill: CancelBill): Promise<CancelReply | undefined> {
+    const call = delivery.agents.get(place.address).cancel.mutate({ requestId: place.requestId, bill });
     return withTimeout(delivery.host.timers, call as Promise<CancelReply>, cancelTimeoutMs, "cancel").catch(() => undefined);
 }
 
@@ -77,13 +77,12 @@
  * Settles an attempt that nobody follows any more, once its agent has said what it came to. Until then the
  * reservation stays held, because the attempt may still run.
  */
-export async function settleAbandoned(delivery: DeliveryHost, attempt: Attempt, isBilled: boolean): Promise<void> {
+export async function settleAbandoned(delivery: DeliveryHost, attempt: Attempt, bill: CancelBill): Promise<void> {
     const sinceMs = delivery.host.clock.nowMs();
     for (;;) {
-        const reply = await cancelAttempt(delivery, attempt.place, isBilled);
+        const reply = await cancelAttempt(delivery, attempt.place, bill);
         if (reply !== undefined && reply.state !== "running") {
-            const billedTokens = reply.state === "unknown" ? 0 : Math.min(reply.billedTokens, attempt.reservation?.reservedTokens ?? 0);
-            return billAbandoned(delivery, attempt, isBilled ? billedTokens : 0);
+            return billAbandoned(delivery, attempt, getAbandonedTokens(attempt, reply, bill));
         }
         const isReplaced = !delivery.router.isCurrent(attempt.backendServer, attempt.place.incarnation);
         const isGone = delivery.host.clock.nowMs() - sinceMs > agentGoneMs;
@@ -105,10 +104,15 @@
         }
     }
     catch {
-        await settleAbandoned(delivery, attempt, true);
+        await settleAbandoned(delivery, attempt, "finished");
     }
 }
 
+function getAbandonedTokens(attempt: Attempt, reply: CancelReply, bill: CancelBill): number {
+    const isBilled = (reply.state === "finished" && bill !== "never") || (reply.state === "stopped" && bill === "generated");
+    return isBilled ? Math.min(reply.billedTokens, attempt.reservation?.reservedTokens ?? 0) : 0;
+}
+
 async function billAbandoned(delivery: DeliveryHost, attempt: Attempt, billedTokens: number): Promise<void> {
     if (attempt.claim !== undefined && billedTokens > 0) return finishClaim(delivery, attempt, billedTokens);
     attempt.reservation?.settle(attempt.place.incarnation, billedTokens);
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -156,11 +156,16 @@
 /** Type of an entry's procedures. */
 export type EntryRouter = ReturnType<typeof createEntryRouter>;
 
+/**
+ * What a cancelled attempt is billed for. `never`: nothing, because its answer can reach nobody. `finished`: a whole answer, which a
+ * retry with its key can still get. `generated`: also a part, because the caller left while it ran.
+ */
+export type CancelBill = "never" | "finished" | "generated";
+
 /** A request to stop an attempt. */
 export const cancelSchema = z.object({
     requestId: name,
-    /** True when what was generated so far is billed: the caller left. False for a losing attempt. */
-    isBilled: z.boolean(),
+    bill: z.enum(["never", "finished", "generated"]),
 });
 /** A request to stop an attempt. */
 export type CancelRequest = Readonly<z.infer<typeof cancelSchema>>;
--- a/test/durability.test.ts
+++ b/test/durability.test.ts
@@ -319,3 +319,22 @@
     t.equal(run.state, "finished");
     t.equal(getView(fleet, "budget-a").settledTokens, run.completionTokens + run.promptTokens);
 });
+
+test("an answer that a retry fetched behind a cut is billed once the first entry is back", async t => {
+    const fleet = await start(39, { engines: 1 });
+    const { world, callerVm } = fleet;
+    const request = { ...longAnswer, idempotencyKey: "cut" };
+    const first = sendChat(callerVm.host, fleet.getEntryAddress(0), request);
+    await world.advance(300);
+    const ip = fleet.entries[0]!.vm.ip;
+    world.setPartition((from, to) => from === ip && to.startsWith("10.0.3"));
+    await world.advance(1_500);
+    const second = await world.runUntil(sendChat(callerVm.host, fleet.getEntryAddress(1), request));
+    t.match(second, { isWhole: true, isRight: true });
+    await world.advance(40_000);
+    world.heal();
+    await world.runUntil(first);
+    await world.advance(30_000);
+    t.equal(fleet.engines.reduce((sum, engine) => sum + engine.runs.size, 0), 1);
+    t.equal(getView(fleet, "budget-a").settledTokens, second.billedTokens);
+});
