--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -31,6 +31,8 @@
 /** Silence after which an idempotent attempt that has given nothing is tried elsewhere. */
 const minStallMs = 1_000;
 const stallFactor = 5;
+/** Under an overload every answer is slow, and giving one up only adds work. */
+const minStallFactor = 2;
 /** Share of the remaining time after which a stalled attempt leaves the rest to another one. */
 const maxStallShare = 0.5;
 const maxUnreachableMs = 5_000;
@@ -229,7 +231,8 @@
     let hasStalled = false;
     const remainingMs = exchange.deadlineMs - delivery.host.clock.nowMs();
     const usualMs = Math.max(choice.expectedMs, choice.usualFirstTokenMs);
-    const stallMs = Math.min(Math.max(minStallMs, usualMs * stallFactor), remainingMs * maxStallShare);
+    const patienceMs = Math.min(usualMs * stallFactor, remainingMs * maxStallShare);
+    const stallMs = Math.max(minStallMs, patienceMs, usualMs * minStallFactor);
     const cancel = !attempt.isIdempotent ? () => undefined : delivery.host.timers.after(stallMs, () => {
         hasStalled = true;
         abort.abort();
