Drop fields that nothing reads; show what an entry owes

Cause: load reports carried the engine's queued tokens and the age of its word, which the router stopped reading when agents began to tell what they hold.

--- a/bench/reports.ts
+++ b/bench/reports.ts
@@ -32,9 +32,7 @@
         pendingTokens: (index * 37) % 4_000,
         runningRequests: 5,
         queuedRequests: 1,
-        queuedTokens: 700,
         tokensPerSecond: 8_000,
-        ageMs: 120,
         cacheAdded: ["3:1a2b3c4d", "4:5e6f7a8b"],
         cacheRemoved: ["7:9c8d7e6f"],
     };
--- a/src/agent/adapters/modelEngine.ts
+++ b/src/agent/adapters/modelEngine.ts
@@ -11,7 +11,6 @@
 const loadSchema = z.object({
     runningRequests: z.number(),
     queuedRequests: z.number(),
-    queuedTokens: z.number(),
     tokensPerSecond: z.number(),
 });
 const cacheEventsSchema = z.object({ next: z.number(), added: z.array(z.string()), removed: z.array(z.string()) });
@@ -63,7 +62,7 @@
                 getJson(host, address, `/cache-events?after=${cachePosition}`, cacheEventsSchema),
             ]);
             cachePosition = cache.next;
-            return { ...load, isHealthy: true, learnedAtMs: host.clock.nowMs(), cacheAdded: cache.added, cacheRemoved: cache.removed };
+            return { ...load, isHealthy: true, cacheAdded: cache.added, cacheRemoved: cache.removed };
         },
         async countPromptTokens(body) {
             const { model, messages } = JSON.parse(body) as { model: unknown; messages: unknown; };
@@ -137,14 +136,12 @@
 }
 
 /** Load of a backend server that does not answer. */
-export function createUnhealthyLoad(nowMs: number): EngineLoad {
+export function createUnhealthyLoad(): EngineLoad {
     return {
         isHealthy: false,
         runningRequests: 0,
         queuedRequests: 0,
-        queuedTokens: 0,
         tokensPerSecond: 0,
-        learnedAtMs: nowMs,
         cacheAdded: [],
         cacheRemoved: [],
     };
--- a/src/agent/adapters/plainService.ts
+++ b/src/agent/adapters/plainService.ts
@@ -40,9 +40,7 @@
                 isHealthy: true,
                 runningRequests: load.runningRequests,
                 queuedRequests: load.queuedRequests,
-                queuedTokens: 0,
                 tokensPerSecond: 0,
-                learnedAtMs: host.clock.nowMs(),
                 cacheAdded: [],
                 cacheRemoved: [],
             };
--- a/src/agent/reporter.ts
+++ b/src/agent/reporter.ts
@@ -55,7 +55,7 @@
     let isAnnounced = false;
     let isDraining = false;
     let isLeaving = false;
-    let load: EngineLoad = createUnhealthyLoad(host.clock.nowMs());
+    let load: EngineLoad = createUnhealthyLoad();
     let failures = 0;
     let sequence = 0;
     let highestEpoch = -1;
@@ -152,9 +152,7 @@
             ...options.runner.getLoad(),
             runningRequests: load.runningRequests,
             queuedRequests: load.queuedRequests,
-            queuedTokens: load.queuedTokens,
             tokensPerSecond: load.tokensPerSecond,
-            ageMs: host.clock.nowMs() - load.learnedAtMs,
             cacheAdded: load.cacheAdded,
             cacheRemoved: load.cacheRemoved,
         };
@@ -193,7 +191,7 @@
         }
         catch {
             failures++;
-            if (failures >= failedProbes) load = createUnhealthyLoad(host.clock.nowMs());
+            if (failures >= failedProbes) load = createUnhealthyLoad();
         }
     }
 }
--- a/src/agent/types.ts
+++ b/src/agent/types.ts
@@ -7,9 +7,7 @@
     readonly isHealthy: boolean;
     readonly runningRequests: number;
     readonly queuedRequests: number;
-    readonly queuedTokens: number;
     readonly tokensPerSecond: number;
-    readonly learnedAtMs: number;
     readonly cacheAdded: readonly string[];
     readonly cacheRemoved: readonly string[];
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -49,6 +49,8 @@
     start(): void;
     isReady(): boolean;
     getVersion(): number;
+    /** Settlements and claims that control or an agent has not confirmed yet. */
+    getOwedCount(): number;
     /** Fails readiness, finishes what runs, settles and closes its leases. */
     stop(): Promise<void>;
     /** Ends at once, as a crash does. */
@@ -130,6 +132,7 @@
         },
         isReady: () => isAnnounced && configuration.isReady() && !isStopping,
         getVersion: () => configuration.version,
+        getOwedCount: background.getCount,
         async stop() {
             isStopping = true;
             while (openExchanges > 0) await sleep(host.timers, drainPollMs);
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -353,10 +353,7 @@
     /** The engine's own word, which lags. */
     runningRequests: z.number().nonnegative(),
     queuedRequests: z.number().nonnegative(),
-    queuedTokens: z.number().nonnegative(),
     tokensPerSecond: z.number().nonnegative(),
-    /** Age of the engine's own report, in milliseconds. */
-    ageMs: z.number().nonnegative(),
     cacheAdded: z.array(z.string()).readonly(),
     cacheRemoved: z.array(z.string()).readonly(),
 }).readonly();
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -228,6 +228,7 @@
         { name: "lovage_entry_requests", help: "requests so far", value: counts.requests },
         { name: "lovage_entry_dispatches", help: "dispatches so far", value: counts.dispatches },
         { name: "lovage_entry_retries", help: "retries so far", value: counts.retries },
+        { name: "lovage_entry_owed", help: "settlements and claims that are not confirmed yet", value: entry.getOwedCount() },
         { name: "lovage_entry_version", help: "version in force", value: entry.getVersion() },
         ...Object.entries(counts.refusals).map(([code, value]) => ({
             name: "lovage_entry_refusals",
