Do not take a silent agent for a replaced one

Cause: an entry that gave up an attempt behind a cut settles it at nothing once the agent's incarnation was replaced. It asked whether the incarnation is the one it knows; after 30 s of silence it had forgotten the backend server, and took that for a replacement. The caller's retry had the answer, nobody billed it, and the freed tokens were spent again.

--- a/src/entry/delivery/settlement.ts
+++ b/src/entry/delivery/settlement.ts
@@ -84,7 +84,7 @@
         if (reply !== undefined && reply.state !== "running") {
             return billAbandoned(delivery, attempt, getAbandonedTokens(attempt, reply, bill));
         }
-        const isReplaced = !delivery.router.isCurrent(attempt.backendServer, attempt.place.incarnation);
+        const isReplaced = delivery.router.isReplaced(attempt.backendServer, attempt.place.incarnation);
         const isGone = delivery.host.clock.nowMs() - sinceMs > agentGoneMs;
         if (isGone || (isReplaced && delivery.host.clock.nowMs() - sinceMs > cancelTimeoutMs)) {
             attempt.reservation?.settle(attempt.place.incarnation, 0);
--- a/src/entry/routing/router.ts
+++ b/src/entry/routing/router.ts
@@ -32,7 +32,8 @@
     /** Tells how often reports are asked for, so that a slow pace is not taken for silence. */
     setReportPace(reportMs: number): void;
     countCandidates(pool: string, nowMs: number): number;
-    isCurrent(backendServer: BackendServerName, incarnation: string): boolean;
+    /** True when a newer incarnation of the backend server is known here. One that only fell silent is not replaced. */
+    isReplaced(backendServer: BackendServerName, incarnation: string): boolean;
     getFailureDomain(backendServer: BackendServerName): string | undefined;
 }
 
@@ -142,7 +143,7 @@
             paceMs = reportMs;
         },
         countCandidates: (pool, nowMs) => (pools.get(pool) ?? []).filter(server => isPresent(server, nowMs)).length,
-        isCurrent: (backendServer, incarnation) => byName.get(backendServer)?.candidate.agent.incarnation === incarnation,
+        isReplaced: (backendServer, incarnation) => (byName.get(backendServer)?.candidate.agent.incarnation ?? incarnation) !== incarnation,
         getFailureDomain: backendServer => byName.get(backendServer)?.candidate.agent.failureDomain,
     };
 
