Test that a silent agent does not count as a replaced one

With the old rule put back it fails; with the rule of 'Do not take a silent agent for a replaced one' it passes.

--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -1,7 +1,7 @@
 /** Single decisions: fairness, limits, retries, ejection, quarantine, orders and control's time. */
 import { test } from "tap";
 import { policies } from "../bench/fleet.js";
-import { createAnnouncement } from "../bench/reports.js";
+import { createAnnouncement, createFirstReport } from "../bench/reports.js";
 import { createModelEngineAdapter } from "../src/agent/adapters/modelEngine.js";
 import { createAuditTrail } from "../src/control/plugins/audit.js";
 import { createFleet as createFleetState } from "../src/control/plugins/fleet.js";
@@ -11,13 +11,14 @@
 import { createAccountLimits } from "../src/entry/rateLimit.js";
 import { createRetryBudget } from "../src/entry/retryBudget.js";
 import { createEjection } from "../src/entry/routing/ejection.js";
+import { createRouter } from "../src/entry/routing/router.js";
 import { createControlTimeBound } from "../src/kernel/controlTime.js";
 import type { EngineOrder, QueryResults, Suspicion } from "../src/kernel/messages.js";
 import { createObjectIndex, policySchema } from "../src/kernel/objects.js";
 import type { ApplyContext } from "../src/kernel/registry.js";
 import { VerdictError } from "../src/kernel/verdict.js";
 import type { Verdict } from "../src/kernel/verdict.js";
-import { createFakeWorld } from "../src/standins/fakeHost.js";
+import { createFakeWorld, createRandom } from "../src/standins/fakeHost.js";
 import { createModelEngine } from "../src/standins/modelEngine.js";
 import { createWeightStore } from "../src/standins/weightStore.js";
 
@@ -188,3 +189,16 @@
     t.ok(bound.getUpperMs() >= 14_950);
     t.end();
 });
+
+test("an agent that fell silent is forgotten, but not taken for a replaced one", t => {
+    const router = createRouter({ random: { nextUnit: createRandom(1), nextId: () => "" } });
+    const { incarnation } = createFirstReport(0);
+    router.learn(createFirstReport(0), 0);
+    for (let report = 0; report < 50; report++) router.learn({ ...createFirstReport(1), sequence: report }, 60_000 + report);
+    t.equal(router.getServerCount(), 1, "the silent one is forgotten");
+    t.notOk(router.isReplaced("engine-0", incarnation));
+    const agent = { ...createFirstReport(0).agent!, incarnation: "newer" };
+    router.learn({ ...createFirstReport(0), incarnation: "newer", agent }, 61_000);
+    t.ok(router.isReplaced("engine-0", incarnation));
+    t.end();
+});
