--- /dev/null
+++ b/src/agent/relay.ts
@@ -0,0 +1,61 @@
+/**
+ * A relay passes calls between processes of the fleet on, for those that cannot reach each other directly. It reads nothing of
+ * what it passes on: control decides by the call alone, so that no promise rests on the relay.
+ */
+import type { Host, HttpHandler, HttpRequest, HttpResponse } from "../kernel/host.js";
+import { relayPrefix } from "../kernel/hostNode.js";
+import { getErrorText } from "../kernel/tasks.js";
+import type { Address } from "../kernel/types.js";
+
+/** What a relay lets through. */
+export interface RelayOptions {
+    /** Port of the fleet's own calls, the only one that is relayed to. */
+    readonly fleetPort: number;
+    readonly isAuthentic: (request: HttpRequest) => boolean;
+}
+
+interface RelayTarget {
+    readonly address: Address;
+    readonly path: string;
+}
+
+/** Creates the handler of a relay. Anything but a relayed call is answered with 404. */
+export function createRelay(host: Host, options: RelayOptions): HttpHandler {
+    const log = host.createLogger("relay");
+    return async (request, response) => {
+        const target = parseTarget(request.path, options.fleetPort);
+        if (target === undefined) return answer(response, 404);
+        if (!options.isAuthentic(request)) return answer(response, 401);
+        try {
+            const reply = await host.network.request(target.address, {
+                method: request.method,
+                path: target.path,
+                headers: { "content-type": request.headers["content-type"] ?? "application/json" },
+                body: request.body.length > 0 ? request.body : undefined,
+                signal: request.signal,
+            });
+            response.start(reply.status, { "content-type": reply.headers["content-type"] ?? "application/json" });
+            for await (const chunk of reply.body) await response.write(chunk);
+            response.end();
+        }
+        catch (error) {
+            log.debug("A call could not be relayed.", { address: target.address, detail: getErrorText(error) });
+            if (response.hasStarted) response.abort();
+            else answer(response, 502);
+        }
+    };
+}
+
+// Only one hop is made: the path behind the address must be a call, not another relay.
+function parseTarget(path: string, fleetPort: number): RelayTarget | undefined {
+    if (!path.startsWith(relayPrefix)) return undefined;
+    const end = path.indexOf("/", relayPrefix.length);
+    const address = path.slice(relayPrefix.length, end);
+    const rest = path.slice(end);
+    return end > 0 && address.endsWith(`:${fleetPort}`) && rest.startsWith("/rpc/") ? { address, path: rest } : undefined;
+}
+
+function answer(response: HttpResponse, status: number): void {
+    response.start(status, { "content-length": "0" });
+    response.end();
+}
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -18,11 +18,16 @@
 import { rpc } from "../kernel/rpc.js";
 import { createSignal, waitUntil } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
+import { createControlDirectory } from "./directory.js";
+import type { ControlDirectory } from "./directory.js";
+import { createGroupTasks } from "./group.js";
+import type { GroupOptions } from "./group.js";
 import { createPeerCalls, createRootRouter } from "./log/peers.js";
 import { createReplica } from "./log/replica.js";
 import { defaultTiming } from "./log/replicaTypes.js";
 import type { BarrierResult, ProposeResult, Replica, ReplicaTiming } from "./log/replicaTypes.js";
 import { openStore } from "./log/store.js";
+import { getVoters } from "./log/types.js";
 import type { Member } from "./log/types.js";
 import type { ControlState } from "./plugins/index.js";
 import { createStateMachine } from "./stateMachine.js";
@@ -38,6 +43,7 @@
     readonly createState: (register: (plugin: ControlPlugin) => void, registry: ReturnType<typeof createRegistry>) => ControlState;
     readonly timing?: ReplicaTiming;
     readonly snapshotEveryEntries?: number;
+    readonly group?: GroupOptions;
 }
 
 /** A running control VM. */
@@ -46,6 +52,7 @@
     readonly router: ReturnType<typeof createFullRouter>;
     readonly replica: Replica;
     readonly state: ControlState;
+    readonly directory: ControlDirectory;
     isReady(): boolean;
     /** Hands leadership over, then stops. */
     stop(): Promise<void>;
@@ -95,24 +102,49 @@
         },
     });
     const tasks = createLeaderTasks(host, { replica, state, submit });
+    const directory = createControlDirectory(host, host.random.nextId(), {
+        listPeers: () =>
+            getVoters(replica.getStatus().membership).map(voter => voter.address).filter(address => address !== options.self.address),
+        countVoters: () => getVoters(replica.getStatus().membership).length,
+        isConnected: () => replica.getStatus().isConnected,
+    });
+    const group = createGroupTasks(host, { replica, self: options.self, ...options.group });
     replica.start();
     tasks.start();
+    directory.start();
+    group.start();
 
-    const api: ControlApi = { submit, query, watch, heartbeat, status, replaceVoter };
+    const api: ControlApi = {
+        submit,
+        query,
+        watch,
+        heartbeat,
+        status,
+        replaceVoter,
+        ping: () => ({ isConnected: replica.getStatus().isConnected }),
+        watchDirectory: directory.watch,
+        spread: directory.spread,
+        join: group.join,
+    };
     return {
         api,
         router: createFullRouter(api, replica),
         replica,
         state,
         isReady: () => replica.getStatus().leaderId !== undefined,
+        directory,
         async stop() {
             const isHandedOver = await replica.handOver();
             log.info("This control VM stops.", { isHandedOver });
+            group.stop();
+            directory.stop();
             tasks.stop();
             replica.stop();
             changed.notify();
         },
         halt() {
+            group.stop();
+            directory.stop();
             tasks.stop();
             replica.stop();
             changed.notify();
@@ -161,11 +193,12 @@
         await waitUntil(host, changed, isDue, request.timeoutMs);
         const revision = state.getRevision();
         const recalledBudgets = state.listRecalled(request.incarnation);
-        if (revision <= request.revision) return { revision, recalledBudgets };
+        const { isConnected, membership } = replica.getStatus();
+        const members = getVoters(membership).map(voter => voter.address);
+        const common = { revision, recalledBudgets, isConnected, members };
+        if (revision <= request.revision) return common;
         const delta = state.getDelta(request.version);
-        return delta === undefined
-            ? { revision, configuration: state.getConfiguration(), recalledBudgets }
-            : { revision, delta, recalledBudgets };
+        return delta === undefined ? { ...common, configuration: state.getConfiguration() } : { ...common, delta };
     }
 
     async function heartbeat(request: Heartbeat): Promise<ControlReply<HeartbeatResult>> {
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -29,6 +29,12 @@
 const handoverTimeoutMs = 3_000;
 const catchUpTimeoutMs = 60_000;
 const keepEntriesAfterSnapshot = 1_000;
+/** Election timeouts after which a silent leader counts as lost to this replica. */
+const connectedTimeouts = 2;
+
+function haveSameVoters(a: Membership, b: Membership): boolean {
+    return a.voters.length === b.voters.length && a.voters.every(voter => b.voters.some(other => other.voterId === voter.voterId));
+}
 
 /** Creates a replica on an open store. */
 export function createReplica(host: Host, options: ReplicaOptions): Replica {
@@ -97,8 +103,12 @@
             appliedIndex: state.appliedIndex,
             lastIndex: store.lastIndex,
             membership: state.membership,
+            isConnected: state.role === "leader"
+                || host.clock.nowMs() - state.lastLeaderContactMs < timing.electionTimeoutMs * connectedTimeouts,
             hasDiskFailed: state.hasDiskFailed,
         }),
+        changeMembership,
+        listPeers: () => replication?.listPeers() ?? [],
         onVote: election.onVote,
         onAppend: follower.onAppend,
         onSnapshot: follower.onSnapshot,
@@ -312,10 +322,19 @@
             catchUpTimeoutMs,
         );
         if (!isCaughtUp || replication === undefined) return { kind: "unknown" };
-        const nextVoters = [...voters, newMember];
-        const joint = await proposeMembership({ voters: before.voters, nextVoters, learners: before.learners });
+        return changeMembership({ voters: [...voters, newMember], learners: before.learners });
+    }
+
+    // A change starts only from a membership that is committed, under a leader that has committed in its own term.
+    async function changeMembership(next: Membership): Promise<ProposeResult> {
+        const before = state.membership;
+        const isSettled = getMembershipAt(store, state.commitIndex) === before && replication?.hasCommittedOwnTerm() === true;
+        if (!canPropose() || !isSettled) return createNotLeader();
+        if (before.nextVoters !== undefined) return proposeMembership({ voters: before.nextVoters, learners: before.learners });
+        if (haveSameVoters(before, next)) return proposeMembership(next);
+        const joint = await proposeMembership({ voters: before.voters, nextVoters: next.voters, learners: next.learners });
         if (joint.kind !== "applied") return joint;
-        return proposeMembership({ voters: nextVoters, learners: before.learners });
+        return proposeMembership(next);
     }
 
     function proposeMembership(membership: Membership): Promise<ProposeResult> {
--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -78,6 +78,10 @@
     readBarrier(): Promise<BarrierResult>;
     /** Adds a learner, then swaps it for an old voter by one joint change. */
     replaceVoter(oldVoterId: VoterId, newMember: Member): Promise<ProposeResult>;
+    /** Puts another membership in force, by way of a joint one where the voters differ. One change at a time. */
+    changeMembership(next: Membership): Promise<ProposeResult>;
+    /** Progress of the other members, as the leader knows it. Empty elsewhere. */
+    listPeers(): readonly PeerProgress[];
     /** Hands leadership to the voter that is furthest on. Returns true when it did. */
     handOver(): Promise<boolean>;
     getStatus(): ReplicaStatus;
@@ -87,6 +91,13 @@
     onStartElection(term: number): void;
 }
 
+/** How far a member is, as its leader knows. */
+export interface PeerProgress {
+    readonly voterId: VoterId;
+    readonly matchIndex: number;
+    readonly lastAckMs: number;
+}
+
 /** State of a replica, for operators and tests. */
 export interface ReplicaStatus {
     readonly role: ReplicaRole;
@@ -97,6 +108,8 @@
     readonly appliedIndex: number;
     readonly lastIndex: number;
     readonly membership: Membership;
+    /** True while this replica leads, or has heard from its leader just now. */
+    readonly isConnected: boolean;
     /** True when a disk error keeps this replica from taking part. */
     readonly hasDiskFailed: boolean;
 }
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -1,7 +1,7 @@
 /** A leader's replication: one task for each peer, commitment, check-quorum and read confirmation. */
 import { createSignal, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
-import type { ReplicaCore } from "./replicaTypes.js";
+import type { PeerProgress, ReplicaCore } from "./replicaTypes.js";
 import { getMembers, hasQuorum } from "./types.js";
 import type { AppendReply, AppendRequest, SnapshotReply, VoterId } from "./types.js";
 
@@ -17,6 +17,7 @@
     /** Resolves true once a quorum has answered a message that was sent after this call. */
     confirm(timeoutMs: number): Promise<boolean>;
     getMatchIndex(voterId: VoterId): number;
+    listPeers(): readonly PeerProgress[];
 }
 
 interface Peer {
@@ -71,6 +72,7 @@
             await waitUntil(host, progress, () => !isRunning() || isConfirmed(), timeoutMs);
             return isRunning() && isConfirmed();
         },
+        listPeers: () => [...peers.values()].filter(peer => !peer.isRemoved),
         getMatchIndex: voterId => voterId === self.voterId ? store.durableIndex : peers.get(voterId)?.matchIndex ?? 0,
     };
 
--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -72,6 +72,21 @@
     await replaceFile(disk, folder, markerFile, encodeRecord({ ...marker, formatVersion }));
 }
 
+/** Identity of the voter whose store is in a folder. Undefined where the folder holds none that can be read. */
+export async function readStoreOwner(disk: Disk, folder: string): Promise<VoterId | undefined> {
+    await disk.ensureFolder(folder);
+    const data = await disk.read(`${folder}/${markerFile}`);
+    const marker = data === undefined ? undefined : tryDecodeRecord(Buffer.from(data), 0)?.value as StoreMarker | undefined;
+    return marker?.voterId;
+}
+
+/** Removes a store, or what is left of one. Its identity must not be used again. */
+export async function discardStore(disk: Disk, folder: string): Promise<void> {
+    await disk.remove(`${folder}/${markerFile}`);
+    for (const file of await disk.list(folder)) await disk.remove(`${folder}/${file}`);
+    await disk.syncFolder(folder);
+}
+
 /** Opens the store of a voter. Throws a `StoreRefusedError` when it is empty, foreign or damaged. */
 export async function openStore(disk: Disk, folder: string, groupId: string, voterId: VoterId): Promise<LogStore> {
     const marker = await readMarker(disk, folder, groupId, voterId);
--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -20,6 +20,8 @@
 /** The ledger. Every change checks the invariant of the budget it touched. */
 export interface Ledger {
     topUp(budget: BudgetName, tokens: number): number;
+    /** Sets the total that was paid for. Below what is promised already, nothing more is granted until that has shrunk. */
+    setPrepaid(budget: BudgetName, tokens: number): void;
     renew(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): LeaseGrant;
     /** Starts the recovery of a lease whose entry is gone. Returns false when it must not start yet. */
     beginRecovery(leaseId: string, isSuperseded: boolean, nowMs: number): boolean;
@@ -66,6 +68,12 @@
             setAccount({ ...account, toppedUpTokens: account.toppedUpTokens + tokens });
             return account.toppedUpTokens + tokens;
         },
+        setPrepaid(budget, tokens) {
+            const account = getAccount(budget);
+            const { settledTokens, leasedTokens, inDoubtTokens } = createView(account);
+            const overhangTokens = Math.max(0, settledTokens + leasedTokens + inDoubtTokens - tokens);
+            setAccount({ ...account, toppedUpTokens: tokens, overhangTokens });
+        },
         renew,
         beginRecovery(leaseId, isSuperseded, nowMs) {
             const lease = leases.get(leaseId);
@@ -141,6 +149,7 @@
             writtenOffTokens: 0,
             leaseIds: new Set(),
             starvingUntilMs: 0,
+            overhangTokens: 0,
         };
     }
 
@@ -180,7 +189,7 @@
     function checkInvariant(account: BudgetAccount): void {
         const view = createView(account);
         assert(
-            view.settledTokens + view.leasedTokens + view.inDoubtTokens <= account.toppedUpTokens,
+            view.settledTokens + view.leasedTokens + view.inDoubtTokens <= account.toppedUpTokens + (account.overhangTokens ?? 0),
             `budget ${account.budget} has promised more than was topped up`,
         );
     }
@@ -194,7 +203,7 @@
             if (lease.state === "open") leasedTokens += getHeldTokens(lease);
             else inDoubtTokens += getHeldTokens(lease);
         }
-        const freeTokens = account.toppedUpTokens - settledTokens - leasedTokens - inDoubtTokens;
+        const freeTokens = Math.max(0, account.toppedUpTokens - settledTokens - leasedTokens - inDoubtTokens);
         const { budget, toppedUpTokens, writtenOffTokens } = account;
         return { budget, toppedUpTokens, settledTokens, leasedTokens, inDoubtTokens, freeTokens, writtenOffTokens };
     }
--- a/src/control/plugins/budgets/types.ts
+++ b/src/control/plugins/budgets/types.ts
@@ -38,6 +38,8 @@
     readonly leaseIds: ReadonlySet<string>;
     /** Until then only starving requests get tokens. */
     readonly starvingUntilMs: number;
+    /** Promised tokens above the total when it was last lowered. Absent in snapshots of earlier versions. */
+    readonly overhangTokens?: number;
 }
 
 /** Rules for the leases of one budget, by what its owner weighs more. */
--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -1,6 +1,13 @@
 /** The configuration: full sets that are checked whole and published under one version. */
 import { getDigest } from "../../kernel/digest.js";
-import type { ChangeOutcome, ConfigurationDelta, ConfigurationView, Problem, QuarantineView } from "../../kernel/messages.js";
+import type {
+    ChangeOutcome,
+    CommandInputs,
+    ConfigurationDelta,
+    ConfigurationView,
+    Problem,
+    QuarantineView,
+} from "../../kernel/messages.js";
 import { createObjectIndex, getObjectKey, getSetDigest } from "../../kernel/objects.js";
 import type { ConfigurationObject, ObjectIndex } from "../../kernel/objects.js";
 import type { ApplyContext, ControlPlugin, ObjectKind, ObjectSet, Registry } from "../../kernel/registry.js";
@@ -21,6 +28,8 @@
     readonly registry: Pick<Registry, "getObjectKind">;
     readonly audit: AuditWriter;
     readonly listQuarantined: () => readonly QuarantineView[];
+    /** Called with each set that is put in force, while it is applied. */
+    readonly onAccepted?: (objects: ObjectIndex) => void;
 }
 
 interface KeptChange {
@@ -34,6 +43,9 @@
 export function createConfiguration(options: ConfigurationOptions): Configuration {
     let version = 0;
     let lastChangeId = "";
+    let operatorVersion = 0;
+    let operatorDocument: string | undefined;
+    let operatorDigest = "";
     let objects: readonly ConfigurationObject[] = [];
     let index = createObjectIndex([]);
     let digest = getSetDigest([]);
@@ -48,24 +60,42 @@
         getVersion: () => version,
         plugin: {
             name: "configuration",
-            commands: { "configuration.apply": (input, context) => applyChange(input, context) },
+            commands: {
+                "configuration.apply": (input, context) => applyChange(input, context),
+                "configuration.replace": (input, context) => applyReplacement(input, context),
+            },
             queries: {
                 "configuration.validate": input => checkObjects(input.objects, options.registry, objects),
+                "configuration.document": () => ({ operatorVersion, document: operatorDocument }),
                 "configuration.get": () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
             },
             sections: [{
                 name: "configuration",
-                save: () => ({ version, lastChangeId, objects, changes: [...changes] }),
+                save: () => ({
+                    version,
+                    lastChangeId,
+                    objects,
+                    changes: [...changes],
+                    operatorVersion,
+                    operatorDocument,
+                    operatorDigest,
+                }),
                 load(data) {
                     const saved = data as {
                         version: number;
                         lastChangeId: string;
                         objects: ConfigurationObject[];
                         changes: [string, KeptChange][];
+                        operatorVersion?: number;
+                        operatorDocument?: string;
+                        operatorDigest?: string;
                     };
                     version = saved.version;
                     lastChangeId = saved.lastChangeId;
                     changes = new Map(saved.changes);
+                    operatorVersion = saved.operatorVersion ?? 0;
+                    operatorDocument = saved.operatorDocument;
+                    operatorDigest = saved.operatorDigest ?? "";
                     setObjects(saved.objects);
                 },
             }],
@@ -116,16 +146,53 @@
         }
         const checked = checkObjects(input.objects, options.registry, objects);
         if (checked.problems.length > 0) return { outcome: "invalid", version, problems: checked.problems };
-        const keys = compareObjects(objects, checked.objects);
-        recent = [...recent, { baseVersion: version, version: context.index, keys }].slice(-maxRecentChanges);
-        version = context.index;
-        lastChangeId = input.changeId;
-        setObjects(checked.objects);
+        putInForce(checked.objects, input.changeId, context);
         const outcome: ChangeOutcome = { outcome: "accepted", version, problems: [] };
         keepChange(input.changeId, { digest: contentDigest, outcome });
         return outcome;
     }
 
+    function putInForce(accepted: readonly ConfigurationObject[], changeId: string, context: ApplyContext): void {
+        const keys = compareObjects(objects, accepted);
+        recent = [...recent, { baseVersion: version, version: context.index, keys }].slice(-maxRecentChanges);
+        version = context.index;
+        lastChangeId = changeId;
+        setObjects(accepted);
+        options.onAccepted?.(index);
+    }
+
+    function applyReplacement(input: Replacement, context: ApplyContext): ChangeOutcome {
+        const contentDigest = getDigest(input.objects);
+        const outcome = decideReplacement(input, contentDigest, context);
+        options.audit(context, {
+            actor: input.actor,
+            action: "replace",
+            outcome: outcome.outcome,
+            detail: `operator's version ${input.operatorVersion}: ${input.objects.length} objects, ${outcome.problems.length} problems`,
+            content: contentDigest,
+        });
+        return outcome;
+    }
+
+    // The highest number wins in whatever order the sets come, so an older one is taken as done.
+    function decideReplacement(input: Replacement, contentDigest: string, context: ApplyContext): ChangeOutcome {
+        const checked = checkObjects(input.objects, options.registry, objects);
+        if (checked.problems.length > 0) return { outcome: "invalid", version, problems: checked.problems };
+        if (operatorDocument !== undefined && input.operatorVersion < operatorVersion) {
+            return { outcome: "repeated", version, problems: [] };
+        }
+        if (operatorDocument !== undefined && input.operatorVersion === operatorVersion) {
+            if (contentDigest === operatorDigest) return { outcome: "repeated", version, problems: [] };
+            const problem = { object: "set", field: "version", detail: `${operatorVersion} holds another set` };
+            return { outcome: "conflict", version, problems: [problem] };
+        }
+        operatorVersion = input.operatorVersion;
+        operatorDocument = input.document;
+        operatorDigest = contentDigest;
+        putInForce(checked.objects, `operator-${operatorVersion}`, context);
+        return { outcome: "accepted", version, problems: [] };
+    }
+
     function getDelta(sinceVersion: number): ConfigurationDelta | undefined {
         if (sinceVersion === version) return createDelta(sinceVersion, new Set());
         const from = recent.findIndex(change => change.baseVersion === sinceVersion);
@@ -147,6 +214,8 @@
     }
 }
 
+type Replacement = CommandInputs["configuration.replace"];
+
 interface RecentChange {
     readonly baseVersion: number;
     readonly version: number;
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -1,6 +1,7 @@
 /** Registers control's plug-ins and gathers what the control VM asks of them together. */
 import type { Heartbeat, HeartbeatResult } from "../../kernel/contracts.js";
 import type { ConfigurationDelta, ConfigurationView } from "../../kernel/messages.js";
+import type { ObjectIndex } from "../../kernel/objects.js";
 import type { ControlPlugin, Registry } from "../../kernel/registry.js";
 import type { Incarnation } from "../../kernel/types.js";
 import { createAuditTrail } from "./audit.js";
@@ -43,7 +44,12 @@
     const audit = createAuditTrail();
     const claims = createClaims();
     const quarantine = createQuarantine(audit.write);
-    const configuration = createConfiguration({ registry, audit: audit.write, listQuarantined: quarantine.listQuarantined });
+    const configuration = createConfiguration({
+        registry,
+        audit: audit.write,
+        listQuarantined: quarantine.listQuarantined,
+        onAccepted: objects => setPrepaid(objects),
+    });
     const budgets = createBudgets({
         audit: audit.write,
         getObjects: configuration.getIndex,
@@ -132,6 +138,12 @@
         },
     };
 
+    function setPrepaid(objects: ObjectIndex): void {
+        for (const budget of objects.list("budget")) {
+            if (budget.prepaidTokens !== undefined) ledger.setPrepaid(budget.name, budget.prepaidTokens);
+        }
+    }
+
     function listEntries() {
         return [...fleet.state.entries.values()]
             .filter(entry => !entry.isSuperseded)
--- a/src/control/plugins/objectKinds.ts
+++ b/src/control/plugins/objectKinds.ts
@@ -1,7 +1,23 @@
 /** The object kinds of a set, each with the checks of its references. */
 import type { Problem } from "../../kernel/messages.js";
-import { backendServerPoolSchema, budgetSchema, clientAccountSchema, policySchema, routeSchema } from "../../kernel/objects.js";
-import type { BackendServerPoolObject, BudgetObject, ClientAccountObject, PolicyObject, RouteObject } from "../../kernel/objects.js";
+import {
+    backendServerPoolSchema,
+    budgetSchema,
+    clientAccountSchema,
+    httpRouteSchema,
+    ingressLimitsSchema,
+    policySchema,
+    routeSchema,
+} from "../../kernel/objects.js";
+import type {
+    BackendServerPoolObject,
+    BudgetObject,
+    ClientAccountObject,
+    HttpRouteObject,
+    IngressLimitsObject,
+    PolicyObject,
+    RouteObject,
+} from "../../kernel/objects.js";
 import type { ControlPlugin, ObjectKind, ObjectSet } from "../../kernel/registry.js";
 
 /** Creates the plug-in that brings the object kinds. `hasOpenLeases` tells of a budget that is in use. */
@@ -24,8 +40,11 @@
             ...object.clientAccounts.flatMap(name => checkReference(object, "clientAccounts", "clientAccount", name, set)),
             ...object.clientAccounts.flatMap(name => checkDrawsHere(object, name, set)),
         ],
+        // A budget that the configuration pays for ends with it. What its leases hold may still be used up.
         checkRemoval: object =>
-            hasOpenLeases(object.name) ? [createProblem(object, "name", "has open leases and cannot be taken away")] : [],
+            object.prepaidTokens === undefined && hasOpenLeases(object.name)
+                ? [createProblem(object, "name", "has open leases and cannot be taken away")]
+                : [],
     };
     const policy: ObjectKind<PolicyObject> = { kind: "policy", schema: policySchema, check: () => [] };
     const pool: ObjectKind<BackendServerPoolObject> = { kind: "backendServerPool", schema: backendServerPoolSchema, check: () => [] };
@@ -37,7 +56,17 @@
             ...checkMatch(object, set),
         ],
     };
-    return { name: "objectKinds", objectKinds: [clientAccount, budget, policy, pool, route] };
+    const httpRoute: ObjectKind<HttpRouteObject> = {
+        kind: "httpRoute",
+        schema: httpRouteSchema,
+        check: (object, set) => [
+            ...object.targets.flatMap(target => checkReference(object, "targets", "backendServerPool", target.pool, set)),
+            ...checkWeights(object),
+            ...checkPlace(object, set),
+        ],
+    };
+    const ingressLimits: ObjectKind<IngressLimitsObject> = { kind: "ingressLimits", schema: ingressLimitsSchema, check: () => [] };
+    return { name: "objectKinds", objectKinds: [clientAccount, budget, policy, pool, route, httpRoute, ingressLimits] };
 }
 
 interface Named {
@@ -84,6 +113,25 @@
     return owners;
 }
 
+function checkWeights(route: HttpRouteObject): readonly Problem[] {
+    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    return total > 0 ? [] : [createProblem(route, "targets", "the weights add up to 0")];
+}
+
+const routePlaces = new WeakMap<ObjectSet, ReadonlyMap<string, string>>();
+
+// The last route at a host and prefix holds the place, so that every other one is a problem.
+function checkPlace(route: HttpRouteObject, set: ObjectSet): readonly Problem[] {
+    const getPlace = (other: HttpRouteObject) => `${other.host.toLowerCase()} ${other.pathPrefix}`;
+    let holders = routePlaces.get(set);
+    if (holders === undefined) {
+        holders = new Map((set.list("httpRoute") as readonly HttpRouteObject[]).map(other => [getPlace(other), other.name]));
+        routePlaces.set(set, holders);
+    }
+    const holder = holders.get(getPlace(route));
+    return holder === route.name ? [] : [createProblem(route, "pathPrefix", `stands at the same host and prefix as httpRoute/${holder}`)];
+}
+
 function checkMatch(route: RouteObject, set: ObjectSet): readonly Problem[] {
     if ((route.model === undefined) === (route.service === undefined)) {
         return [createProblem(route, "model", "needs either a model or a service")];
--- a/src/control/stateMachine.ts
+++ b/src/control/stateMachine.ts
@@ -18,6 +18,7 @@
 /** How long the result of each kind is kept. Commands of cumulative totals need none. */
 const retentions: Readonly<Record<CommandKind, Retention>> = {
     "configuration.apply": "none",
+    "configuration.replace": "none",
     "budgets.topUp": "long",
     "budgets.release": "long",
     "leases.renew": "none",
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -68,8 +68,27 @@
     readonly incarnation: Incarnation;
     readonly control: ControlClient;
     readonly preferences?: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>>;
+    readonly pacing?: LeasePacing;
 }
 
+/** How often an entry talks to control about its leases. */
+export interface LeasePacing {
+    readonly tickMs: number;
+    /** Pause between two renewals by which a lease that is nearly empty asks for more, by whether the last one gave any. */
+    readonly refillPauseMs: { readonly given: number; readonly refused: number; };
+    /** Delay of a settlement after a quiet time, and at most in a steady stream. */
+    readonly settleDelayMs: { readonly quiet: number; readonly steady: number; };
+    readonly renewTimeoutMs: number;
+}
+
+/** Pacing for a large fleet, whose control must not be called often. */
+export const defaultLeasePacing: LeasePacing = {
+    tickMs: 250,
+    refillPauseMs: { given: 1_000, refused: 10_000 },
+    settleDelayMs: { quiet: 1_000, steady: 10_000 },
+    renewTimeoutMs: 1_500,
+};
+
 interface HeldLease {
     readonly budget: string;
     readonly leaseId: string;
@@ -101,17 +120,11 @@
     exhausted: { readonly tokens: number; readonly saidAtMs: number; } | undefined;
 }
 
-const renewTimeoutMs = 1_500;
 /** Pauses between renewals while a request waits for tokens. Each is longer than the one before. */
 const starvingRetryMs = { first: 40, max: 500, factor: 1.6 } as const;
 const closeRetryMs = 50;
-const tickMs = 250;
-/** Pause between two renewals by which a lease that is nearly empty asks for more, by whether the last one gave any. */
-const refillPauseMs = { given: 1_000, refused: 10_000 } as const;
 /** How long control's word that a budget is exhausted stands for requests of the same size or larger. */
 const exhaustedStandsMs = 500;
-/** A settlement waits for others: a short while after a quiet time, and twice as long after each renewal in a steady stream. */
-const settleDelayMs = { quiet: 1_000, steady: 10_000 } as const;
 const quietAfterMs = 20_000;
 /** A lease is renewed after this share of its length. */
 const renewShare = 0.25;
@@ -125,6 +138,8 @@
 /** Creates a book without leases. */
 export function createLeaseBook(host: Host, options: LeaseBookOptions): LeaseBook {
     const { control } = options;
+    // A settlement waits for others: a short while after a quiet time, and twice as long after each renewal in a steady stream.
+    const { tickMs, refillPauseMs, settleDelayMs, renewTimeoutMs } = options.pacing ?? defaultLeasePacing;
     const log = host.createLogger("budgets");
     const preferences = options.preferences ?? budgetPreferences;
     const leases = new Map<string, HeldLease>();
--- a/src/entry/configurationView.ts
+++ b/src/entry/configurationView.ts
@@ -27,16 +27,27 @@
     readonly identity: ProcessIdentity;
     readonly control: ControlClient;
     readonly onRecall: (budgets: readonly string[]) => void;
+    /** Called with the addresses of the control VMs that vote. */
+    readonly onMembers?: (addresses: readonly string[]) => void;
+    /** Called after each change of what is in force. */
+    readonly onChange?: () => void;
+    readonly timing?: NodeConfigurationTiming;
 }
 
-const watchTimeoutMs = 10_000;
-const retryMs = 200;
+/** How a view waits for news. */
+export interface NodeConfigurationTiming {
+    readonly watchTimeoutMs: number;
+    readonly retryMs: number;
+}
+
+const defaultTiming: NodeConfigurationTiming = { watchTimeoutMs: 10_000, retryMs: 200 };
 const readTimeoutMs = 3_000;
 
 /** Creates a view that waits for its first configuration. */
 export function createNodeConfiguration(host: Host, options: NodeConfigurationOptions): NodeConfiguration {
     const log = host.createLogger("configuration");
     const { identity, control } = options;
+    const { watchTimeoutMs, retryMs } = options.timing ?? defaultTiming;
     let version = 0;
     let revision = 0;
     let hasConfirmed = false;
@@ -83,6 +94,7 @@
         const { vm, role, failureDomain, incarnation } = identity;
         const reply = await control.watch({ vm, role, failureDomain, incarnation, version, revision, timeoutMs: watchTimeoutMs });
         if (reply === undefined) return sleep(host.timers, retryMs);
+        options.onMembers?.(reply.members);
         if (reply.configuration !== undefined && reply.revision > revision) {
             revision = reply.revision;
             putInForce(reply.configuration);
@@ -124,6 +136,7 @@
         routesByModel = new Map(routes.flatMap(route => route.model === undefined ? [] : [[route.model, route] as const]));
         routesByService = new Map(routes.flatMap(route => route.service === undefined ? [] : [[route.service, route] as const]));
         suspicions = new Map(view.quarantined.map(item => [item.fingerprint, item]));
+        options.onChange?.();
     }
 }
 
--- /dev/null
+++ b/src/entry/direct/gateway.ts
@@ -0,0 +1,264 @@
+/**
+ * The entry's way for requests whose backend servers have no agent: route, account, limits, budget, delivery, settlement.
+ * An answer is always given at once when its outcome is known.
+ */
+import type { ControlClient } from "../../kernel/controlClient.js";
+import { messages } from "../../kernel/diagnostics.js";
+import type { BackendServerRecord } from "../../kernel/directory.js";
+import type { BackendConnections, Host, HttpHandler, HttpRequest, HttpResponse } from "../../kernel/host.js";
+import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
+import { createStopController, getErrorText, sleep } from "../../kernel/tasks.js";
+import type { ProcessIdentity } from "../../kernel/types.js";
+import { refuse, toVerdict } from "../../kernel/verdict.js";
+import type { Verdict } from "../../kernel/verdict.js";
+import { createLeaseBook } from "../budgets/leaseBook.js";
+import type { LeasePacing, Reservation } from "../budgets/leaseBook.js";
+import { createNodeConfiguration } from "../configurationView.js";
+import { deliver } from "./delivery.js";
+import type { Delivery } from "./delivery.js";
+import { createLoadBook } from "./loadBook.js";
+import { createRetryWindow } from "./retryWindow.js";
+import type { RetryRules } from "./retryWindow.js";
+import { choosePool, createRouteTable } from "./routeTable.js";
+import type { RouteTable } from "./routeTable.js";
+import { createServerView } from "./serverView.js";
+import type { CallHead, DirectCall, DirectProtocol, GenerationSize } from "./types.js";
+
+/** Options of a gateway. */
+export interface GatewayOptions {
+    readonly identity: ProcessIdentity;
+    readonly control: ControlClient;
+    readonly connections: BackendConnections;
+    readonly protocol: DirectProtocol;
+    readonly retryRules: RetryRules;
+    readonly leasePacing?: LeasePacing;
+    /** Longest time that a stop takes. */
+    readonly stopMs: number;
+    readonly onServers: (servers: readonly BackendServerRecord[]) => void;
+    readonly onMembers: (addresses: readonly string[]) => void;
+}
+
+/** A running gateway. */
+export interface Gateway {
+    readonly handle: HttpHandler;
+    isReady(): boolean;
+    getVersion(): number;
+    start(): void;
+    stop(): Promise<void>;
+}
+
+/** How long a request may wait for tokens that other entries hold. */
+const budgetWaitMs = 700;
+const budgetHorizonMs = 1_200;
+const readyGoneMs = 2_500;
+const stopPollMs = 50;
+const closeLeasesMs = 800;
+const defaultTimeoutMs = 60_000;
+const retryAfterMs = { notReady: 500, budget: 1_000 } as const;
+
+/** Creates a gateway that is not ready yet. */
+export function createGateway(host: Host, options: GatewayOptions): Gateway {
+    const { identity, control, protocol } = options;
+    const log = host.createLogger("gateway");
+    const stopping = createStopController();
+    const loads = createLoadBook();
+    const retries = createRetryWindow(options.retryRules);
+    const servers = createServerView(host, control, all => {
+        loads.keepOnly(new Set(all.map(server => server.backendServer)));
+        options.onServers(all);
+    });
+    const leases = createLeaseBook(host, {
+        vm: identity.vm,
+        incarnation: identity.incarnation,
+        control,
+        pacing: options.leasePacing,
+        preferences: {
+            overspend: { horizonMs: budgetHorizonMs, maxWaitMs: budgetWaitMs },
+            falseRefusals: { horizonMs: budgetHorizonMs, maxWaitMs: budgetWaitMs },
+        },
+    });
+    const configuration = createNodeConfiguration(host, {
+        identity,
+        control,
+        timing: { watchTimeoutMs: 1_000, retryMs: 50 },
+        onRecall: leases.giveBack,
+        onMembers: options.onMembers,
+        onChange: onConfiguration,
+    });
+    let routes: RouteTable = createRouteTable([]);
+    let limits: IngressLimitsObject | undefined;
+    let prepaid: ReadonlyMap<string, number> = new Map();
+    let isStopping = false;
+    let running = 0;
+
+    return {
+        handle,
+        isReady: () => configuration.isReady() && !isStopping,
+        getVersion: () => configuration.version,
+        start() {
+            configuration.start(stopping.signal);
+            servers.start(stopping.signal);
+            leases.start(stopping.signal);
+        },
+        async stop() {
+            isStopping = true;
+            const startedAtMs = host.clock.nowMs();
+            log.info("The gateway stops.", { running });
+            while (running > 0 || host.clock.nowMs() - startedAtMs < readyGoneMs) {
+                if (host.clock.nowMs() - startedAtMs > options.stopMs) break;
+                await sleep(host.timers, stopPollMs);
+            }
+            const isClosed = await leases.close(closeLeasesMs);
+            log.info("The gateway has stopped.", { running, isClosed });
+            stopping.abort();
+        },
+    };
+
+    function onConfiguration(): void {
+        const objects = configuration.getObjects();
+        routes = createRouteTable(objects.list("httpRoute"));
+        limits = objects.list("ingressLimits")[0];
+        const before = prepaid;
+        prepaid = new Map(objects.list("budget").map(budget => [budget.name, budget.prepaidTokens ?? 0]));
+        // What was leased of a total that shrank is asked for anew.
+        const lowered = [...prepaid].filter(([name, tokens]) => tokens < (before.get(name) ?? 0)).map(([name]) => name);
+        if (lowered.length > 0) leases.giveBack(lowered);
+    }
+
+    async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
+        const arrivedAtMs = host.clock.nowMs();
+        running++;
+        let requestId: string | undefined;
+        try {
+            const head = protocol.readCall(request);
+            if ("problem" in head) refuse("badRequest", head.problem);
+            requestId = head.requestId;
+            await serve(createCall(head, request, arrivedAtMs), response);
+        }
+        catch (error) {
+            const verdict = toVerdict(error, "mayHaveRun");
+            if (verdict.code === "outcomeUnknown" && !request.signal.aborted) {
+                log.error("A request failed.", { requestId, detail: getErrorText(error) });
+            }
+            writeRefusal(request, response, verdict, requestId, arrivedAtMs);
+        }
+        finally {
+            running--;
+        }
+    }
+
+    function createCall(head: CallHead, request: HttpRequest, arrivedAtMs: number): DirectCall {
+        if (!configuration.isReady()) refuse("notReady", undefined, retryAfterMs.notReady);
+        if (limits !== undefined && request.body.length > limits.maxBodyBytes) refuse("bodyTooLarge");
+        const route = routes.find(head.host, request.path);
+        if (route === undefined) refuse("unknownPath");
+        const account = findAccount(head, route);
+        const waitMs = Math.min(head.deadlineMs ?? defaultTimeoutMs, route.timeoutMs);
+        return {
+            head,
+            request,
+            route,
+            pool: choosePool(route, host.random.nextUnit()),
+            account,
+            priority: account?.priority ?? route.priority,
+            arrivedAtMs,
+            deadlineAtMs: arrivedAtMs + waitMs,
+        };
+    }
+
+    function findAccount(head: CallHead, route: HttpRouteObject): ClientAccountObject | undefined {
+        const hasAccounts = configuration.getObjects().list("clientAccount").length > 0;
+        const account = head.accountKey === undefined ? undefined : configuration.findAccount(head.accountKey);
+        if (account === undefined && hasAccounts && !route.isPublic) refuse("unauthenticated");
+        return account;
+    }
+
+    async function serve(call: DirectCall, response: HttpResponse): Promise<void> {
+        const reservation = await reserve(call);
+        let delivery: Delivery | undefined;
+        try {
+            delivery = await deliver(host, call, response, {
+                protocol,
+                connections: options.connections,
+                servers,
+                loads,
+                retries,
+                log,
+                getAnswerHeaders,
+            });
+        }
+        finally {
+            // An unexpected failure bills the whole reservation, because nothing is known of what was delivered.
+            const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : getBilledTokens(call, delivery);
+            reservation?.settle(directAgent, Math.min(billedTokens, reservation.reservedTokens));
+        }
+        if (delivery.verdict !== undefined && !response.hasStarted) {
+            writeRefusal(call.request, response, delivery.verdict, call.head.requestId, call.arrivedAtMs);
+        }
+    }
+
+    async function reserve(call: DirectCall): Promise<Reservation | undefined> {
+        const { generation } = call.head;
+        if (generation === undefined || call.account === undefined) return undefined;
+        return leases.reserve({
+            budget: call.account.budget,
+            weighsMore: "overspend",
+            tokens: generation.promptTokens + generation.maxCompletionTokens,
+            deadlineMs: call.deadlineAtMs,
+        });
+    }
+
+    // The prompt counts once for each call that may have run, and the completion by the events that were delivered.
+    function getBilledTokens(call: DirectCall, delivery: Delivery): number {
+        const { generation } = call.head;
+        if (generation === undefined || !delivery.mayHaveRun) return 0;
+        return generation.promptTokens + getCompletionTokens(call, generation, delivery);
+    }
+
+    function getCompletionTokens(call: DirectCall, generation: GenerationSize, delivery: Delivery): number {
+        const pool = configuration.getObjects().get("backendServerPool", call.pool);
+        const tokensPerEvent = pool?.engine?.tokensPerEvent ?? generation.maxCompletionTokens;
+        return Math.min(generation.maxCompletionTokens, delivery.deliveredEvents * tokensPerEvent);
+    }
+
+    function getAnswerHeaders(): Readonly<Record<string, string>> {
+        return isStopping ? { connection: "close" } : {};
+    }
+
+    function writeRefusal(
+        request: HttpRequest,
+        response: HttpResponse,
+        verdict: Verdict,
+        requestId: string | undefined,
+        arrivedAtMs: number,
+    ): void {
+        if (request.signal.aborted) return;
+        log.info("A request was refused.", {
+            requestId,
+            path: request.path,
+            verdict: verdict.kind,
+            code: verdict.code,
+            detail: verdict.detail,
+            retryAfterMs: verdict.retryAfterMs === undefined ? undefined : Math.round(verdict.retryAfterMs),
+            version: configuration.version,
+            tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
+        });
+        if (response.hasStarted) return response.abort();
+        const headers = { ...protocol.createRefusalHeaders(verdict, requestId), ...getAnswerHeaders() };
+        const body = Buffer.from(JSON.stringify({ code: verdict.code, detail: verdict.detail }));
+        response.start(getStatus(verdict), {
+            ...headers,
+            "content-type": "application/problem+json",
+            "content-length": String(body.length),
+        });
+        void response.write(body);
+        response.end();
+    }
+}
+
+/** Stands for direct dispatch in the settled totals of a lease, which are kept by agent. */
+const directAgent = "direct";
+
+function getStatus(verdict: Verdict): number {
+    return messages[verdict.code].status;
+}
--- /dev/null
+++ b/src/entry/direct/loadBook.ts
@@ -0,0 +1,123 @@
+/** What one entry knows of each backend server's load, cache and health, from its own dispatches and their answers. */
+import type { PromptPart, ServerLoad } from "./types.js";
+
+/** One dispatch that has not ended. */
+export interface Dispatch {
+    readonly startedAtMs: number;
+    /** Prompt tokens that the backend server is expected to read for it. */
+    readonly readTokens: number;
+    hasStarted: boolean;
+}
+
+/** How a dispatch ended, as far as the backend server's health is concerned. */
+export type DispatchEnd = "good" | "refused" | "unreachable" | "broken" | "failed" | "unknown";
+
+/** What is known of one backend server. */
+export interface ServerFacts {
+    readonly backendServer: string;
+    readonly dispatches: ReadonlySet<Dispatch>;
+    /** Load by its last answer, and when that came. */
+    readonly reported: { readonly load: ServerLoad; readonly atMs: number; } | undefined;
+    /** Until then it gets no work. */
+    readonly ejectedUntilMs: number;
+    /** True when the part is believed to be in its cache. */
+    holdsPart(partId: string): boolean;
+}
+
+/** Facts of all backend servers. */
+export interface LoadBook {
+    get(backendServer: string): ServerFacts;
+    begin(backendServer: string, readTokens: number, parts: readonly PromptPart[], nowMs: number): Dispatch;
+    end(backendServer: string, dispatch: Dispatch, how: DispatchEnd, nowMs: number): void;
+    noteLoad(backendServer: string, load: ServerLoad, nowMs: number): void;
+    /** Forgets the servers that are not listed. */
+    keepOnly(backendServers: ReadonlySet<string>): void;
+}
+
+interface Entry {
+    readonly backendServer: string;
+    readonly dispatches: Set<Dispatch>;
+    readonly parts: Map<string, true>;
+    reported: { readonly load: ServerLoad; readonly atMs: number; } | undefined;
+    ejectedUntilMs: number;
+    /** Ends in a row that speak against it. */
+    badEnds: number;
+}
+
+const maxParts = 2_000;
+const firstEjectionMs = 400;
+const maxEjectionMs = 4_000;
+/** Ends in a row that count against a server before it is ejected, by how it ended. */
+const endsBeforeEjection: Readonly<Record<DispatchEnd, number>> = {
+    good: Infinity,
+    unknown: Infinity,
+    refused: Infinity,
+    failed: 6,
+    broken: 2,
+    unreachable: 1,
+};
+
+/** Creates a book that knows nothing. */
+export function createLoadBook(): LoadBook {
+    const entries = new Map<string, Entry>();
+    return {
+        get: backendServer => toFacts(getEntry(backendServer)),
+        begin(backendServer, readTokens, parts, nowMs) {
+            const entry = getEntry(backendServer);
+            const dispatch: Dispatch = { startedAtMs: nowMs, readTokens, hasStarted: false };
+            entry.dispatches.add(dispatch);
+            for (const part of parts) {
+                entry.parts.delete(part.partId);
+                entry.parts.set(part.partId, true);
+            }
+            while (entry.parts.size > maxParts) entry.parts.delete(entry.parts.keys().next().value!);
+            return dispatch;
+        },
+        end(backendServer, dispatch, how, nowMs) {
+            const entry = getEntry(backendServer);
+            entry.dispatches.delete(dispatch);
+            if (how === "unknown") return;
+            if (how === "good" || how === "refused") {
+                entry.badEnds = 0;
+                return;
+            }
+            entry.badEnds++;
+            if (how === "unreachable" || how === "broken") entry.parts.clear();
+            const excess = entry.badEnds - endsBeforeEjection[how];
+            if (excess >= 0) entry.ejectedUntilMs = nowMs + Math.min(maxEjectionMs, firstEjectionMs * 2 ** excess);
+        },
+        noteLoad(backendServer, load, nowMs) {
+            getEntry(backendServer).reported = { load, atMs: nowMs };
+        },
+        keepOnly(backendServers) {
+            for (const name of entries.keys()) {
+                if (!backendServers.has(name)) entries.delete(name);
+            }
+        },
+    };
+
+    function getEntry(backendServer: string): Entry {
+        const known = entries.get(backendServer);
+        if (known !== undefined) return known;
+        const created: Entry = {
+            backendServer,
+            dispatches: new Set(),
+            parts: new Map(),
+            reported: undefined,
+            ejectedUntilMs: -Infinity,
+            badEnds: 0,
+        };
+        entries.set(backendServer, created);
+        return created;
+    }
+}
+
+function toFacts(entry: Entry): ServerFacts {
+    return {
+        backendServer: entry.backendServer,
+        dispatches: entry.dispatches,
+        reported: entry.reported,
+        ejectedUntilMs: entry.ejectedUntilMs,
+        holdsPart: partId => entry.parts.has(partId),
+    };
+}
--- /dev/null
+++ b/src/entry/direct/retryWindow.ts
@@ -0,0 +1,60 @@
+/**
+ * The fleet's retry budget, as one entry's part of it. In any window the repeats to a pool stay under a share of the
+ * requests for it plus a slack. Each entry keeps the share of its own requests and a part of the slack, so that no entry
+ * needs to hear of the others.
+ */
+
+/** Bounds on repeats. */
+export interface RetryRules {
+    readonly windowMs: number;
+    /** Repeats for each request. */
+    readonly ratio: number;
+    /** Repeats in a window beyond that, for this entry alone. */
+    readonly slack: number;
+}
+
+/** Repeats to all pools. */
+export interface RetryWindow {
+    noteRequest(pool: string, nowMs: number): void;
+    /** Takes one repeat. False when none is left in the window. */
+    tryTake(pool: string, nowMs: number): boolean;
+}
+
+interface Bucket {
+    readonly startMs: number;
+    requests: number;
+    repeats: number;
+}
+
+const bucketsPerWindow = 20;
+
+/** Creates a window that has seen nothing. */
+export function createRetryWindow(rules: RetryRules): RetryWindow {
+    const pools = new Map<string, Bucket[]>();
+    const bucketMs = rules.windowMs / bucketsPerWindow;
+    return {
+        noteRequest(pool, nowMs) {
+            getBucket(pool, nowMs).requests++;
+        },
+        tryTake(pool, nowMs) {
+            const bucket = getBucket(pool, nowMs);
+            const buckets = pools.get(pool)!;
+            const requests = buckets.reduce((sum, other) => sum + other.requests, 0);
+            const repeats = buckets.reduce((sum, other) => sum + other.repeats, 0);
+            if (repeats + 1 > rules.ratio * requests + rules.slack) return false;
+            bucket.repeats++;
+            return true;
+        },
+    };
+
+    function getBucket(pool: string, nowMs: number): Bucket {
+        const buckets = pools.get(pool) ?? [];
+        pools.set(pool, buckets);
+        while (buckets.length > 0 && buckets[0]!.startMs <= nowMs - rules.windowMs - bucketMs) buckets.shift();
+        const last = buckets.at(-1);
+        if (last !== undefined && nowMs < last.startMs + bucketMs) return last;
+        const bucket: Bucket = { startMs: nowMs, requests: 0, repeats: 0 };
+        buckets.push(bucket);
+        return bucket;
+    }
+}
--- /dev/null
+++ b/src/entry/direct/routeTable.ts
@@ -0,0 +1,47 @@
+/** Finds the route of a request by its host and the longest prefix of its path, and a target of a route by weight. */
+import type { HttpRouteObject } from "../../kernel/objects.js";
+
+/** Routes of one configuration. */
+export interface RouteTable {
+    find(host: string, path: string): HttpRouteObject | undefined;
+}
+
+/** Creates the table of a set of routes. */
+export function createRouteTable(routes: readonly HttpRouteObject[]): RouteTable {
+    const byHost = new Map<string, Map<string, HttpRouteObject>>();
+    for (const route of routes) {
+        const host = normalizeHost(route.host);
+        const byPrefix = byHost.get(host) ?? new Map<string, HttpRouteObject>();
+        byPrefix.set(route.pathPrefix, route);
+        byHost.set(host, byPrefix);
+    }
+    return {
+        find(host, path) {
+            const byPrefix = byHost.get(normalizeHost(host));
+            if (byPrefix === undefined) return undefined;
+            const query = path.indexOf("?");
+            const plain = query < 0 ? path : path.slice(0, query);
+            // Prefixes end with a slash, so only these can match. The longest comes first.
+            for (let end = plain.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : plain.lastIndexOf("/", end - 1)) {
+                const route = byPrefix.get(plain.slice(0, end + 1));
+                if (route !== undefined) return route;
+            }
+            return undefined;
+        },
+    };
+}
+
+/** Chooses a pool by the weights of the route's targets. `unit` is a random number in [0, 1). */
+export function choosePool(route: HttpRouteObject, unit: number): string {
+    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    let rest = unit * total;
+    for (const target of route.targets) {
+        rest -= target.weight;
+        if (rest < 0 && target.weight > 0) return target.pool;
+    }
+    return route.targets.find(target => target.weight > 0)!.pool;
+}
+
+function normalizeHost(host: string): string {
+    return host.toLowerCase().replace(/:\d+$/, "");
+}
--- /dev/null
+++ b/src/entry/direct/serverView.ts
@@ -0,0 +1,67 @@
+/** Backend servers as this entry knows them from control's directory. What an entry knows outlives a restart of control. */
+import type { ControlClient } from "../../kernel/controlClient.js";
+import { createDirectoryTable } from "../../kernel/directory.js";
+import type { BackendServerRecord } from "../../kernel/directory.js";
+import type { Host } from "../../kernel/host.js";
+import { getErrorText, repeat, sleep } from "../../kernel/tasks.js";
+
+/** The backend servers that requests may go to. */
+export interface ServerView {
+    /** Servers of a pool that take new work. */
+    listPool(pool: string): readonly BackendServerRecord[];
+    /** Every server that is not gone, whatever its state. */
+    listAll(): readonly BackendServerRecord[];
+    start(signal: AbortSignal): void;
+}
+
+const watchTimeoutMs = 1_000;
+const retryMs = 50;
+
+/** Creates a view that knows no servers yet. `onChange` is called with each change. */
+export function createServerView(
+    host: Host,
+    control: ControlClient,
+    onChange: (servers: readonly BackendServerRecord[]) => void,
+): ServerView {
+    const log = host.createLogger("directory");
+    const table = createDirectoryTable();
+    let incarnation = "";
+    let revision = 0;
+    let all: readonly BackendServerRecord[] = [];
+    let byPool: ReadonlyMap<string, readonly BackendServerRecord[]> = new Map();
+
+    return {
+        listPool: pool => byPool.get(pool) ?? [],
+        listAll: () => all,
+        start: signal =>
+            void repeat(host.timers, 0, signal, watchOnce, error => log.warn("A watch failed.", { detail: getErrorText(error) })),
+    };
+
+    async function watchOnce(): Promise<void> {
+        const reply = await control.watchDirectory({ incarnation, revision, timeoutMs: watchTimeoutMs });
+        if (reply === undefined) return sleep(host.timers, retryMs);
+        incarnation = reply.incarnation;
+        revision = reply.revision;
+        const changed = reply.servers.filter(server => table.merge(server, host.clock.nowMs()) === "changed");
+        if (changed.length > 0) rebuild(changed);
+    }
+
+    function rebuild(changed: readonly BackendServerRecord[]): void {
+        for (const server of changed) {
+            log.info("A backend server changed.", {
+                backendServer: server.backendServer,
+                pool: server.pool,
+                address: server.address,
+                state: server.state,
+                isSilent: server.isSilent,
+            });
+        }
+        all = table.listSince(0).filter(server => server.state !== "gone");
+        const ready = new Map<string, BackendServerRecord[]>();
+        for (const server of all) {
+            if (server.state === "ready") ready.set(server.pool, [...ready.get(server.pool) ?? [], server]);
+        }
+        byPool = ready;
+        onChange(all);
+    }
+}
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -3,6 +3,8 @@
  * Each part implements its interface; its callers use the router's type.
  */
 import { z } from "zod";
+import { backendServerRecordSchema } from "./directory.js";
+import type { BackendServerRecord } from "./directory.js";
 import { commandSchemas, loadReportSchema, querySchemas } from "./messages.js";
 import type {
     CommandKind,
@@ -51,8 +53,39 @@
     /** In place of the whole where control still holds what changed since the node's version. */
     readonly delta?: ConfigurationDelta;
     readonly recalledBudgets: readonly string[];
+    /** False while this VM has no contact with the leader, so that it may miss news. */
+    readonly isConnected: boolean;
+    /** Addresses of all control VMs that vote. */
+    readonly members: readonly string[];
 }
 
+/** A wait for news of backend servers. The revision counts within one incarnation of a control VM. */
+export const directoryRequestSchema = z.object({
+    incarnation: z.string(),
+    revision: z.number().int().nonnegative(),
+    timeoutMs: z.number().positive().max(60_000),
+});
+/** A wait for news of backend servers. */
+export type DirectoryRequest = Readonly<z.infer<typeof directoryRequestSchema>>;
+
+/** Backend servers that changed. Those that are not named are as they were. */
+export interface DirectoryReply {
+    readonly incarnation: string;
+    readonly revision: number;
+    readonly servers: readonly BackendServerRecord[];
+    readonly isConnected: boolean;
+}
+
+/** Backend servers that one control VM passes on to another. */
+export const directorySpreadSchema = z.object({ servers: z.array(backendServerRecordSchema).max(100_000) });
+/** Backend servers that one control VM passes on to another. */
+export type DirectorySpread = Readonly<z.infer<typeof directorySpreadSchema>>;
+
+/** A control VM with an empty disk that asks to join the group. */
+export const joinSchema = z.object({ voterId: name, address: name, failureDomain: z.string() });
+/** A control VM that asks to join the group. */
+export type JoinRequest = Readonly<z.infer<typeof joinSchema>>;
+
 /** An agent's sign of life to the leader. */
 export const heartbeatSchema = z.object({
     vm: name,
@@ -115,6 +148,11 @@
     watch(request: WatchRequest): Promise<WatchReply>;
     heartbeat(request: Heartbeat): Promise<ControlReply<HeartbeatResult>>;
     status(): Promise<ControlStatus>;
+    ping(): { readonly isConnected: boolean; };
+    watchDirectory(request: DirectoryRequest): Promise<DirectoryReply>;
+    spread(message: DirectorySpread): { readonly incarnation: string; };
+    /** Takes a control VM into the group as a learner. It votes once it has caught up and a place is free. */
+    join(request: JoinRequest): Promise<ControlReply<boolean>>;
     replaceVoter(request: { oldVoterId: string; voterId: string; address: string; failureDomain: string; }): Promise<ControlReply<boolean>>;
 }
 
@@ -126,6 +164,10 @@
         watch: rpc.procedure.input(watchSchema).query(({ input }) => api.watch(input)),
         heartbeat: rpc.procedure.input(heartbeatSchema).mutation(({ input }) => api.heartbeat(input)),
         status: rpc.procedure.query(() => api.status()),
+        ping: rpc.procedure.query(() => api.ping()),
+        watchDirectory: rpc.procedure.input(directoryRequestSchema).query(({ input }) => api.watchDirectory(input)),
+        spread: rpc.procedure.input(directorySpreadSchema).mutation(({ input }) => api.spread(input)),
+        join: rpc.procedure.input(joinSchema).mutation(({ input }) => api.join(input)),
         replaceVoter: rpc.procedure
             .input(z.object({ oldVoterId: name, voterId: name, address: name, failureDomain: z.string() }))
             .mutation(({ input }) => api.replaceVoter(input)),
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -1,5 +1,8 @@
 /** Client of the control group: finds the leader, resends under one operation id, and learns control's time. */
-import type { ControlRouter, Heartbeat, HeartbeatResult, WatchReply, WatchRequest } from "./contracts.js";
+import type { TRPCClient } from "@trpc/client";
+import type { ControlRouter, DirectoryReply, DirectoryRequest, Heartbeat, HeartbeatResult, WatchReply, WatchRequest } from "./contracts.js";
+import { createControlPaths } from "./controlPaths.js";
+import type { ControlPath, ControlPaths } from "./controlPaths.js";
 import { createControlTimeBound } from "./controlTime.js";
 import type { ControlTimeBound } from "./controlTime.js";
 import type { Host } from "./host.js";
@@ -30,45 +33,53 @@
     heartbeat(heartbeat: Heartbeat, timeoutMs: number): Promise<ControlOutcome<HeartbeatResult>>;
     /** Waits for the next published revision at any control VM. */
     watch(request: WatchRequest): Promise<WatchReply | undefined>;
+    /** Waits for news of backend servers at any control VM. */
+    watchDirectory(request: DirectoryRequest): Promise<DirectoryReply | undefined>;
     /** Calls made so far by kind, for measurements. */
     getCallCounts(): Readonly<Record<string, number>>;
 }
 
-const attemptTimeoutMs = 2_000;
+/** How patient a client is with one control VM. */
+export interface ControlClientTiming {
+    /** Wait for one VM before another way is tried. */
+    readonly attemptTimeoutMs: number;
+    /** Pause between two looks whether a direct way works again. */
+    readonly probeEveryMs: number;
+}
+
+/** Timing that suits a fleet whose calls may take long. */
+export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, probeEveryMs: 1_000 };
+
 const pauseBetweenRoundsMs = 50;
 const watchGraceMs = 1_000;
 
-/** Creates a client. Addresses are those of all control VMs. */
-export function createControlClient(host: Host, addresses: readonly Address[]): ControlClient {
+/** Creates a client. The addresses are those of all control VMs, or of some through which the others are learnt. */
+export function createControlClient(
+    host: Host,
+    known: readonly Address[] | ControlPaths,
+    timing: ControlClientTiming = defaultClientTiming,
+): ControlClient {
+    const paths = "getLeaderPath" in known ? known : createControlPaths(host, known);
     const clients = createRpcClients<ControlRouter>(host.network);
     const time = createControlTimeBound(host.clock);
-    let leaderAddress = addresses[0];
-    let watchPosition = Math.floor(host.random.nextUnit() * addresses.length);
     const callCounts: Record<string, number> = {};
+    const probing = new Set<Address>();
 
     return {
         time,
         submit: (kind, input, options) => {
             const operationId = options.operationId ?? host.random.nextId();
             count(kind);
-            return call(address => clients.get(address).submit.mutate({ operationId, kind, input }) as never, options.timeoutMs);
+            return call(client => client.submit.mutate({ operationId, kind, input }) as never, options.timeoutMs);
         },
         query: (kind, input, options) => {
             count(kind);
-            return call(address => clients.get(address).query.query({ kind, input }) as never, options.timeoutMs);
-        },
-        heartbeat: (heartbeat, timeoutMs) => call(address => clients.get(address).heartbeat.mutate(heartbeat) as never, timeoutMs),
-        async watch(request) {
-            const address = addresses[watchPosition % addresses.length]!;
-            try {
-                const reply = clients.get(address).watch.query(request) as Promise<WatchReply>;
-                return await withTimeout(host.timers, reply, request.timeoutMs + watchGraceMs, "watch");
-            }
-            catch {
-                watchPosition++;
-                return undefined;
-            }
+            return call(client => client.query.query({ kind, input }) as never, options.timeoutMs);
         },
+        heartbeat: (heartbeat, timeoutMs) => call(client => client.heartbeat.mutate(heartbeat) as never, timeoutMs),
+        watch: request => callAny(client => client.watch.query(request) as Promise<WatchReply>, request.timeoutMs + watchGraceMs),
+        watchDirectory: request =>
+            callAny(client => client.watchDirectory.query(request) as Promise<DirectoryReply>, request.timeoutMs + watchGraceMs),
         getCallCounts: () => callCounts,
     };
 
@@ -76,42 +87,77 @@
         callCounts[kind] = (callCounts[kind] ?? 0) + 1;
     }
 
-    // Goes from address to address until one leads, or the time is up.
-    async function call<T>(send: (address: Address) => Promise<ControlReply<T>>, timeoutMs: number): Promise<ControlOutcome<T>> {
+    // A VM that has lost its group may hold back news without knowing it.
+    async function callAny<T extends { readonly isConnected?: boolean; }>(
+        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        timeoutMs: number,
+    ): Promise<T | undefined> {
+        const path = paths.getAnyPath();
+        const reply = await tryOnce(send, path, timeoutMs);
+        if (reply === undefined || reply.isConnected === false) paths.moveAny(path.address);
+        return reply?.isConnected === false ? undefined : reply;
+    }
+
+    // Goes from way to way until a VM leads, or the time is up.
+    async function call<T>(
+        send: (client: TRPCClient<ControlRouter>) => Promise<ControlReply<T>>,
+        timeoutMs: number,
+    ): Promise<ControlOutcome<T>> {
         const deadlineMs = host.clock.nowMs() + timeoutMs;
         for (let tries = 1;; tries++) {
             const remainingMs = deadlineMs - host.clock.nowMs();
             if (remainingMs <= 0) return { kind: "unreachable" };
-            const address = leaderAddress!;
+            const path = paths.getLeaderPath();
             const askedAtMs = host.clock.nowMs();
-            const reply = await tryOnce(send, address, Math.min(remainingMs, attemptTimeoutMs));
+            const reply = await tryOnce(send, path, Math.min(remainingMs, timing.attemptTimeoutMs));
             if (reply?.kind === "done") {
                 time.learn(reply.controlTimeMs, askedAtMs);
                 return { kind: "done", index: reply.index, result: reply.result };
             }
             if (reply?.kind === "rejected") return reply;
-            moveOn(address, reply);
-            if (tries % addresses.length === 0) await sleep(host.timers, pauseBetweenRoundsMs);
+            // The same VM may be reached on another way, unless that was a relay already.
+            if (reply !== undefined || path.relay !== undefined || isSamePath(paths.getLeaderPath(), path)) {
+                paths.moveLeader(path.address, reply?.kind === "notLeader" ? reply.leaderAddress : undefined);
+            }
+            if (tries % paths.listMembers().length === 0) await sleep(host.timers, pauseBetweenRoundsMs);
         }
     }
 
     async function tryOnce<T>(
-        send: (address: Address) => Promise<ControlReply<T>>,
-        address: Address,
+        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        path: ControlPath,
         timeoutMs: number,
-    ): Promise<ControlReply<T> | undefined> {
+    ): Promise<T | undefined> {
         try {
-            return await withTimeout(host.timers, send(address), timeoutMs, "call to control");
+            const reply = await withTimeout(host.timers, send(clients.get(path.address, path.relay)), timeoutMs, "call to control");
+            paths.noteAnswer(path);
+            return reply;
         }
         catch {
+            paths.noteFailure(path);
+            void probe(path.address);
             return undefined;
         }
     }
 
-    // Another task may have found the leader meanwhile, which is not undone.
-    function moveOn<T>(address: Address, reply: ControlReply<T> | undefined): void {
-        if (leaderAddress !== address) return;
-        const hint = reply?.kind === "notLeader" ? reply.leaderAddress : undefined;
-        leaderAddress = hint ?? addresses[(addresses.indexOf(address) + 1) % addresses.length];
+    // Calls leave a direct way that failed alone, so something else must find out when it works again.
+    async function probe(address: Address): Promise<void> {
+        if (probing.has(address)) return;
+        probing.add(address);
+        while (paths.isAvoided(address) && paths.listMembers().includes(address)) {
+            await sleep(host.timers, timing.probeEveryMs);
+            try {
+                await withTimeout(host.timers, clients.get(address).ping.query(), timing.attemptTimeoutMs, "probe");
+                paths.noteAnswer({ address });
+            }
+            catch {
+                paths.noteFailure({ address });
+            }
+        }
+        probing.delete(address);
     }
 }
+
+function isSamePath(a: ControlPath, b: ControlPath): boolean {
+    return a.address === b.address && a.relay === b.relay;
+}
--- /dev/null
+++ b/src/kernel/controlPaths.ts
@@ -0,0 +1,98 @@
+/**
+ * The ways from a process to the control VMs. A VM that cannot be reached directly may still be reached through a relay:
+ * a process of the fleet that passes calls on. What a call says does not depend on the way that it took.
+ */
+import type { Clock, RandomSource } from "./host.js";
+import type { Address } from "./types.js";
+
+/** One way to a control VM. */
+export interface ControlPath {
+    readonly address: Address;
+    /** Absent for the direct way. */
+    readonly relay?: Address;
+}
+
+/** The ways that are known, and which of them work. */
+export interface ControlPaths {
+    /** The way to the VM that is believed to lead. */
+    getLeaderPath(): ControlPath;
+    /** The way to any control VM, the same one while it works. */
+    getAnyPath(): ControlPath;
+    /** A call on this way got no answer. Later calls take another one. */
+    noteFailure(path: ControlPath): void;
+    /** A call on this way was answered. */
+    noteAnswer(path: ControlPath): void;
+    /** Takes the address as that of the leader, or the next VM where none is named. */
+    moveLeader(from: Address, to: Address | undefined): void;
+    /** Goes on to another VM for calls that any VM answers. */
+    moveAny(from: Address): void;
+    learnMembers(addresses: readonly Address[]): void;
+    learnRelays(addresses: readonly Address[]): void;
+    listMembers(): readonly Address[];
+    /** True while calls leave the direct way to an address alone, because it failed and a relay is known. */
+    isAvoided(address: Address): boolean;
+}
+
+/** A direct way that failed is left to probes for this long, then calls try it again. */
+const avoidDirectMs = 5_000;
+
+/** Creates paths that know the given control VMs. */
+export function createControlPaths(
+    host: { readonly clock: Clock; readonly random: RandomSource; },
+    addresses: readonly Address[],
+): ControlPaths {
+    const seeds = addresses;
+    let members: readonly Address[] = addresses;
+    let relays: readonly Address[] = [];
+    let relay: Address | undefined;
+    let leader = addresses[0]!;
+    let any = addresses[Math.floor(host.random.nextUnit() * addresses.length)]!;
+    const failedAtMs = new Map<Address, number>();
+
+    return {
+        getLeaderPath: () => getPath(leader),
+        getAnyPath: () => getPath(any),
+        noteFailure(path) {
+            if (path.relay === undefined) failedAtMs.set(path.address, host.clock.nowMs());
+            else if (path.relay === relay) relay = chooseRelay(relay);
+        },
+        noteAnswer(path) {
+            if (path.relay === undefined) failedAtMs.delete(path.address);
+        },
+        moveLeader(from, to) {
+            // Another task may have found the leader meanwhile, which is not undone.
+            if (leader === from) leader = to ?? getNext(from);
+        },
+        moveAny(from) {
+            if (any === from) any = getNext(from);
+        },
+        learnMembers(learned) {
+            if (learned.length === 0) return;
+            members = [...new Set(learned)];
+            if (!members.includes(leader)) leader = members[0]!;
+            if (!members.includes(any)) any = members[Math.floor(host.random.nextUnit() * members.length)]!;
+        },
+        learnRelays(learned) {
+            relays = learned;
+            if (relay === undefined || !relays.includes(relay)) relay = chooseRelay(undefined);
+        },
+        listMembers: () => [...new Set([...members, ...seeds])],
+        isAvoided: address => failedAtMs.has(address) && relay !== undefined,
+    };
+
+    function getPath(address: Address): ControlPath {
+        const failedMs = failedAtMs.get(address);
+        const isAvoided = failedMs !== undefined && host.clock.nowMs() - failedMs < avoidDirectMs;
+        return isAvoided && relay !== undefined ? { address, relay } : { address };
+    }
+
+    function getNext(address: Address): Address {
+        const known = [...new Set([...members, ...seeds])];
+        return known[(known.indexOf(address) + 1) % known.length]!;
+    }
+
+    function chooseRelay(except: Address | undefined): Address | undefined {
+        const others = relays.filter(address => address !== except);
+        return others[Math.floor(host.random.nextUnit() * others.length)] ?? relays[0];
+    }
+}
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -107,8 +107,24 @@
 export interface Network {
     serve(options: ServerOptions): Promise<Listener>;
     request(address: Address, request: OutgoingRequest): Promise<IncomingReply>;
-    /** A tRPC link to the router that another process serves. */
-    linkTo(address: Address): TRPCLink<AnyRouter>;
+    /** A tRPC link to the router that another process serves, through a relay where one is named. */
+    linkTo(address: Address, relay?: Address): TRPCLink<AnyRouter>;
+    /** Connections to backend servers, which get nothing of the fleet's own headers. */
+    createBackendConnections(options: BackendConnectionOptions): BackendConnections;
+}
+
+/** How connections to backend servers are made. */
+export interface BackendConnectionOptions {
+    readonly connectTimeoutMs: number;
+    /** Connections that this process keeps to one backend server at most. */
+    readonly maxConnections: number;
+}
+
+/** Kept connections to backend servers. */
+export interface BackendConnections {
+    /** An aborted signal closes the connection of the request. */
+    request(address: Address, request: OutgoingRequest): Promise<IncomingReply>;
+    close(): void;
 }
 
 /** Access to files below the process's data folder. */
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -13,12 +13,27 @@
 import { Agent, fetch as undiciFetch, request as undiciRequest } from "undici";
 import VError from "verror";
 import { NotSentError } from "./host.js";
-import type { Disk, Host, HttpRequest, HttpResponse, IncomingReply, Listener, Logger, Network, ServerOptions } from "./host.js";
+import type {
+    BackendConnectionOptions,
+    BackendConnections,
+    Disk,
+    Host,
+    HttpRequest,
+    HttpResponse,
+    IncomingReply,
+    Listener,
+    Logger,
+    Network,
+    ServerOptions,
+} from "./host.js";
 import type { Address } from "./types.js";
 
 /** Header that carries the fleet secret between processes. */
 export const fleetSecretHeader = "lovage-fleet-secret";
 
+/** Start of a path that a relay passes on: the address of the process that is meant follows. */
+export const relayPrefix = "/relay/";
+
 /** Options of the real host. */
 export interface NodeHostOptions {
     /** Secret that the fleet's processes share. */
@@ -27,6 +42,10 @@
 }
 
 const connectTimeoutMs = 2_000;
+const backendIdleMs = 4_000;
+const probeAfterMs = 1_000;
+/** Longer than every long poll. */
+const maxCallMs = 75_000;
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 30_000;
 const closeGraceMs = 500;
@@ -88,7 +107,40 @@
                 throw toNetworkError(error, address);
             }
         },
-        linkTo: address => createLink(address, pool, fleetSecret),
+        linkTo: (address, relay) => createLink(address, pool, fleetSecret, relay),
+        createBackendConnections,
+    };
+}
+
+// Each backend server has a pool of its own, whose connections carry one request at a time.
+function createBackendConnections(options: BackendConnectionOptions): BackendConnections {
+    const pool = new Agent({
+        connect: { timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: probeAfterMs },
+        keepAliveTimeout: backendIdleMs,
+        connections: options.maxConnections,
+        pipelining: 1,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    return {
+        async request(address, request): Promise<IncomingReply> {
+            try {
+                // The path goes out as it came in, so no URL is built from it.
+                const reply = await pool.request({
+                    origin: `http://${address}`,
+                    path: request.path,
+                    method: request.method as "GET",
+                    headers: request.headers,
+                    body: request.body,
+                    signal: request.signal,
+                });
+                return { status: reply.statusCode, headers: flattenHeaders(reply.headers), body: reply.body };
+            }
+            catch (error) {
+                throw toNetworkError(error, address);
+            }
+        },
+        close: () => void pool.destroy(),
     };
 }
 
@@ -101,13 +153,19 @@
     return new VError(error instanceof Error ? error : new Error(String(error)), "request to %s failed", address);
 }
 
-function createLink(address: Address, pool: Agent, fleetSecret: string): TRPCLink<AnyRouter> {
+function createLink(address: Address, pool: Agent, fleetSecret: string, relay?: Address): TRPCLink<AnyRouter> {
     return httpBatchLink({
-        url: `http://${address}/rpc`,
+        url: relay === undefined ? `http://${address}/rpc` : `http://${relay}${relayPrefix}${address}/rpc`,
         maxItems: 64,
         methodOverride: "POST",
         headers: { [fleetSecretHeader]: fleetSecret },
-        fetch: (url, init) => undiciFetch(String(url), { ...init as object, dispatcher: pool }) as unknown as Promise<Response>,
+        // A call whose connection has gone silent must not hold it forever.
+        fetch: (url, init) =>
+            undiciFetch(String(url), {
+                ...init as object,
+                dispatcher: pool,
+                signal: AbortSignal.timeout(maxCallMs),
+            }) as unknown as Promise<Response>,
     }) as TRPCLink<AnyRouter>;
 }
 
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -195,6 +195,14 @@
         objects: z.array(z.unknown()).max(100_000),
         actor: name,
     }),
+    /** A set under the number that its operator gave. The highest number stays in force. */
+    "configuration.replace": z.object({
+        operatorVersion: z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER),
+        objects: z.array(z.unknown()).max(100_000),
+        /** The set as its operator wrote it, for reading back. */
+        document: z.string(),
+        actor: name,
+    }),
     "budgets.topUp": z.object({ budget: name, tokens: tokens.positive(), actor: name }),
     "budgets.release": z.object({ leaseId: name, spentTokens: tokens, actor: name }),
     "leases.renew": z.object({ vm: name, incarnation: name, leases: z.array(leaseRenewalSchema).max(20_000) }),
@@ -240,6 +248,7 @@
 /** Result of each command. */
 export interface CommandResults {
     readonly "configuration.apply": ChangeOutcome;
+    readonly "configuration.replace": ChangeOutcome;
     readonly "budgets.topUp": { readonly isKnown: boolean; readonly toppedUpTokens: number; };
     readonly "budgets.release": { readonly isKnown: boolean; };
     readonly "leases.renew": { readonly grants: readonly LeaseGrant[]; };
@@ -264,6 +273,7 @@
 /** Schemas of the reads that are confirmed by a quorum, by kind. */
 export const querySchemas = {
     "configuration.get": z.object({}),
+    "configuration.document": z.object({}),
     "configuration.validate": z.object({ objects: z.array(z.unknown()) }),
     "budgets.list": z.object({}),
     "budgets.show": z.object({ budget: name }),
@@ -285,6 +295,7 @@
 /** Result of each query. */
 export interface QueryResults {
     readonly "configuration.get": ConfigurationView;
+    readonly "configuration.document": OperatorDocument;
     readonly "configuration.validate": { readonly problems: readonly Problem[]; readonly objects: readonly unknown[]; };
     readonly "budgets.list": { readonly budgets: readonly BudgetView[]; };
     readonly "budgets.show": { readonly budget?: BudgetView; };
@@ -297,6 +308,12 @@
     readonly "control.status": { readonly version: number; readonly appliedIndex: number; readonly controlTimeMs: number; };
 }
 
+/** The set in force as its operator wrote it. Absent before the first. */
+export interface OperatorDocument {
+    readonly operatorVersion: number;
+    readonly document?: string;
+}
+
 /** The configuration in force. */
 export interface ConfigurationView {
     readonly version: number;
--- a/src/kernel/objects.ts
+++ b/src/kernel/objects.ts
@@ -9,9 +9,12 @@
 export const clientAccountSchema = z.strictObject({
     kind: z.literal("clientAccount"),
     name,
-    keyDigests: z.array(sha256).min(1).max(20).readonly(),
+    /** Empty for an account whose keys were all taken away. */
+    keyDigests: z.array(sha256).max(1_000).readonly(),
     budget: name,
     policy: name,
+    /** Rank among all requests, where 0 goes first. Takes the place of a route's rank. */
+    priority: z.number().int().min(0).max(1_000).optional(),
 }).readonly();
 /** A client account. */
 export type ClientAccountObject = z.infer<typeof clientAccountSchema>;
@@ -22,6 +25,8 @@
     name,
     clientAccounts: z.array(name).readonly(),
     policy: name,
+    /** Total that was paid for, where the configuration and not top-ups say so. Replaces the total before it. */
+    prepaidTokens: z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER).optional(),
 }).readonly();
 /** A prepaid budget. */
 export type BudgetObject = z.infer<typeof budgetSchema>;
@@ -69,12 +74,66 @@
     /** Artifacts of the weight store that each backend server of the pool is to load. */
     artifacts: z.array(name).readonly().default([]),
     maxLoadsPerMinute: z.number().positive().max(10_000).default(60),
+    /** Connections that a backend server takes from all callers together, where entries dispatch to it themselves. */
+    maxConnections: z.number().int().positive().optional(),
+    engine: z.strictObject({
+        maxRunning: z.number().int().positive(),
+        cacheTokens: z.number().int().positive(),
+        /** Tokens that one event of a stream holds at most. */
+        tokensPerEvent: z.number().int().positive(),
+    }).readonly().optional(),
 }).readonly();
 /** A pool of backend servers. */
 export type BackendServerPoolObject = z.infer<typeof backendServerPoolSchema>;
 
+/** What the repetition of a request does. A stream that can be resumed may be repeated like an idempotent request. */
+export const repeatSchema = z.enum(["idempotent", "nonIdempotent", "stream", "resumableStream"]);
+/** What the repetition of a request does. */
+export type Repeat = z.infer<typeof repeatSchema>;
+
+/** A way from a host and a path prefix to pools whose backend servers have no agent. */
+export const httpRouteSchema = z.strictObject({
+    kind: z.literal("httpRoute"),
+    name: z.string().min(1).max(200),
+    host: z.string().min(1),
+    pathPrefix: z.string().startsWith("/").endsWith("/"),
+    targets: z.array(z.strictObject({ pool: name, weight: z.number().nonnegative() }).readonly()).min(1).readonly(),
+    repeat: repeatSchema,
+    timeoutMs: z.number().positive(),
+    /** Time to the whole answer, or to a stream's first event, that callers hope for. */
+    latencyObjectiveMs: z.number().nonnegative(),
+    /** Longest pause between two events of a stream that callers hope for. */
+    gapObjectiveMs: z.number().nonnegative().optional(),
+    /** Rank, where 0 goes first. */
+    priority: z.number().int().min(0),
+    /** Backend servers that one request may run on. */
+    maxAttempts: z.number().int().min(1),
+    isPublic: z.boolean(),
+}).readonly();
+/** A way from a host and a path prefix to pools. */
+export type HttpRouteObject = z.infer<typeof httpRouteSchema>;
+
+/** Bounds on what callers may send. */
+export const ingressLimitsSchema = z.strictObject({
+    kind: z.literal("ingressLimits"),
+    name,
+    maxHeaderBytes: z.number().int().positive(),
+    maxBodyBytes: z.number().int().positive(),
+    headerTimeoutMs: z.number().positive(),
+    idleTimeoutMs: z.number().positive(),
+}).readonly();
+/** Bounds on what callers may send. */
+export type IngressLimitsObject = z.infer<typeof ingressLimitsSchema>;
+
 /** Any object of a set. */
-export type ConfigurationObject = ClientAccountObject | BudgetObject | PolicyObject | RouteObject | BackendServerPoolObject;
+export type ConfigurationObject =
+    | ClientAccountObject
+    | BudgetObject
+    | PolicyObject
+    | RouteObject
+    | BackendServerPoolObject
+    | HttpRouteObject
+    | IngressLimitsObject;
 
 /** Objects by kind. */
 export interface ObjectsByKind {
@@ -83,6 +142,8 @@
     readonly policy: PolicyObject;
     readonly route: RouteObject;
     readonly backendServerPool: BackendServerPoolObject;
+    readonly httpRoute: HttpRouteObject;
+    readonly ingressLimits: IngressLimitsObject;
 }
 
 /** Kind of an object. */
--- a/src/kernel/rpc.ts
+++ b/src/kernel/rpc.ts
@@ -11,18 +11,19 @@
 
 /** A cache of typed clients by address. */
 export interface RpcClients<R extends AnyRouter> {
-    get(address: Address): TRPCClient<R>;
+    get(address: Address, relay?: Address): TRPCClient<R>;
 }
 
 /** Creates a cache of clients. A client keeps no connection of its own, so that a stale one costs little. */
 export function createRpcClients<R extends AnyRouter>(network: Network): RpcClients<R> {
     const clients = new Map<Address, TRPCClient<R>>();
     return {
-        get(address) {
-            const known = clients.get(address);
+        get(address, relay) {
+            const key = relay === undefined ? address : `${relay} ${address}`;
+            const known = clients.get(key);
             if (known !== undefined) return known;
-            const created = createTRPCClient<R>({ links: [network.linkTo(address) as unknown as TRPCLink<R>] });
-            clients.set(address, created);
+            const created = createTRPCClient<R>({ links: [network.linkTo(address, relay) as unknown as TRPCLink<R>] });
+            clients.set(key, created);
             return created;
         },
     };
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,25 +3,34 @@
 import { createPlainServiceAdapter } from "./agent/adapters/plainService.js";
 import { createAgent } from "./agent/agent.js";
 import type { Agent } from "./agent/agent.js";
+import { createRelay } from "./agent/relay.js";
 import type { EngineAdapter } from "./agent/types.js";
 import { createAdministration } from "./control/administration.js";
 import { createControl } from "./control/control.js";
 import type { Control } from "./control/control.js";
+import { prepareMember } from "./control/group.js";
 import type { ReplicaTiming } from "./control/log/replicaTypes.js";
 import { formatStore } from "./control/log/store.js";
+import { getVoters } from "./control/log/types.js";
 import type { Member } from "./control/log/types.js";
 import type { leaseRules } from "./control/plugins/budgets/types.js";
 import { createControlState } from "./control/plugins/index.js";
+import { createGateway } from "./entry/direct/gateway.js";
+import type { Gateway } from "./entry/direct/gateway.js";
+import type { RetryRules } from "./entry/direct/retryWindow.js";
+import type { DirectProtocol } from "./entry/direct/types.js";
 import { createEntry } from "./entry/entry.js";
 import type { Entry, EntryOptions } from "./entry/entry.js";
 import { createControlClient } from "./kernel/controlClient.js";
 import type { ControlClient } from "./kernel/controlClient.js";
+import { createControlPaths } from "./kernel/controlPaths.js";
 import { createProcessHandler } from "./kernel/endpoints.js";
-import type { Host, HttpRequest, Listener, TlsFiles } from "./kernel/host.js";
+import type { Host, HttpRequest, Listener, ServerOptions, TlsFiles } from "./kernel/host.js";
 import { fleetSecretHeader, isSameSecret } from "./kernel/hostNode.js";
 import type { AgentAnnouncement } from "./kernel/messages.js";
 import { readHistogram } from "./kernel/metrics.js";
 import type { MetricReading } from "./kernel/metrics.js";
+import { createStopController, repeat } from "./kernel/tasks.js";
 import type { Address, BackendServerKind, FailureDomainName, VmName } from "./kernel/types.js";
 
 /** Where and as what a process runs. */
@@ -148,6 +157,139 @@
     return createRunning(entry, listeners, control);
 }
 
+/** Settings of a control VM whose group forms itself from seeds. */
+export interface MemberControlSettings {
+    readonly vm: VmName;
+    readonly failureDomain: FailureDomainName;
+    /** Address for the fleet's own calls. */
+    readonly fleetListen: Address;
+    readonly groupId: string;
+    readonly dataFolder: string;
+    readonly seeds: readonly Address[];
+    readonly isFounding: boolean;
+    readonly targetVoters: number;
+    readonly timing?: ReplicaTiming;
+}
+
+/** What else a control VM serves, on addresses of its own. */
+export type ExtraServer = (part: Control, control: ControlClient) => Pick<ServerOptions, "address" | "handler">;
+
+/** Starts a control VM that finds its group by itself. */
+export async function startMemberControl(
+    host: Host,
+    settings: MemberControlSettings,
+    createExtraServer: ExtraServer,
+): Promise<RunningProcess<Control>> {
+    const { vm, failureDomain, fleetListen, groupId, dataFolder, seeds } = settings;
+    const self = await prepareMember(host, {
+        dataFolder,
+        groupId,
+        address: fleetListen,
+        failureDomain,
+        seeds,
+        isFounding: settings.isFounding,
+    });
+    const part = await createControl(host, {
+        vm,
+        groupId,
+        self,
+        dataFolder,
+        timing: settings.timing,
+        createState: (register, registry) => createControlState(register, registry),
+        group: { seeds, targetVoters: settings.targetVoters },
+    });
+    const paths = createControlPaths(host, [fleetListen, ...seeds.filter(seed => seed !== fleetListen)]);
+    const control = createControlClient(host, paths, directClientTiming);
+    const followMembers = () => paths.learnMembers(getVoters(part.replica.getStatus().membership).map(voter => voter.address));
+    const following = createStopController();
+    void repeat(host.timers, followMembersMs, following.signal, async () => followMembers(), () => undefined);
+    const handler = createProcessHandler({ isReady: part.isReady, readMetrics: () => readControlMetrics(part), handler: refuseAll });
+    const listeners = [
+        await host.network.serve({ address: fleetListen, handler, router: part.router, maxBodyBytes: maxFleetBodyBytes }),
+        await host.network.serve({ ...createExtraServer(part, control), maxBodyBytes: maxFleetBodyBytes }),
+    ];
+    const running = createRunning(part, listeners, control);
+    return {
+        ...running,
+        async stop() {
+            following.abort();
+            await running.stop();
+        },
+    };
+}
+
+const followMembersMs = 500;
+/** Calls within a region answer in a few milliseconds, so a silent way is soon given up. */
+const directClientTiming = { attemptTimeoutMs: 350, probeEveryMs: 500 } as const;
+const directLeasePacing = {
+    tickMs: 60,
+    refillPauseMs: { given: 150, refused: 400 },
+    settleDelayMs: { quiet: 500, steady: 2_000 },
+    renewTimeoutMs: 900,
+} as const;
+
+/** Settings of an entry that dispatches to backend servers itself. */
+export interface GatewaySettings {
+    readonly vm: VmName;
+    readonly failureDomain: FailureDomainName;
+    readonly listen: Address;
+    readonly readyListen: Address;
+    readonly fleetListen: Address;
+    readonly seeds: readonly Address[];
+    readonly retryRules: RetryRules;
+    readonly stopMs: number;
+    /** Connections to one backend server. */
+    readonly maxConnections: number;
+    readonly connectTimeoutMs: number;
+}
+
+/** Starts an entry that dispatches to backend servers itself. */
+export async function startGateway(host: Host, settings: GatewaySettings, protocol: DirectProtocol): Promise<RunningProcess<Gateway>> {
+    const { vm, failureDomain, fleetListen } = settings;
+    const paths = createControlPaths(host, settings.seeds);
+    const control = createControlClient(host, paths, directClientTiming);
+    const connections = host.network.createBackendConnections({
+        connectTimeoutMs: settings.connectTimeoutMs,
+        maxConnections: settings.maxConnections,
+    });
+    const fleetPort = fleetListen.slice(fleetListen.lastIndexOf(":"));
+    const gateway = createGateway(host, {
+        identity: { vm, role: "entry", failureDomain, incarnation: host.random.nextId(), address: fleetListen },
+        control,
+        connections,
+        protocol,
+        retryRules: settings.retryRules,
+        leasePacing: directLeasePacing,
+        stopMs: settings.stopMs,
+        // A relay stands beside each model engine, at the fleet's port.
+        onServers: servers => paths.learnRelays([...new Set(servers.map(server => server.address.replace(/:\d+$/, fleetPort)))]),
+        onMembers: paths.learnMembers,
+    });
+    const endpoints = createProcessHandler({ isReady: gateway.isReady, readMetrics: () => [], handler: refuseAll });
+    const listeners = [
+        await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
+        await host.network.serve({ address: fleetListen, handler: endpoints, maxBodyBytes }),
+        await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes }),
+    ];
+    gateway.start();
+    return createRunning(gateway, listeners, control);
+}
+
+/** Settings of a relay. */
+export interface RelaySettings {
+    readonly fleetListen: Address;
+    readonly fleetSecret: string;
+}
+
+/** Starts a relay of the fleet's calls. */
+export async function startRelay(host: Host, settings: RelaySettings): Promise<{ readonly listeners: readonly Listener[]; }> {
+    const { fleetListen, fleetSecret } = settings;
+    const fleetPort = Number(fleetListen.slice(fleetListen.lastIndexOf(":") + 1));
+    const relay = createRelay(host, { fleetPort, isAuthentic: request => isFromFleet(request, fleetSecret) });
+    const handler = createProcessHandler({ isReady: () => true, readMetrics: () => [], handler: relay });
+    return { listeners: [await host.network.serve({ address: fleetListen, handler, maxBodyBytes: maxFleetBodyBytes })] };
+}
+
 /** Starts an agent beside its backend server. */
 export async function startAgent(host: Host, settings: AgentSettings): Promise<RunningProcess<Agent>> {
     const control = createControlClient(host, settings.controlAddresses);
