--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -12,20 +12,8 @@
 import { dirname } from "node:path";
 import { Agent, fetch as undiciFetch, request as undiciRequest } from "undici";
 import VError from "verror";
-import { NotSentError } from "./host.js";
-import type {
-    BackendConnectionOptions,
-    BackendConnections,
-    Disk,
-    Host,
-    HttpRequest,
-    HttpResponse,
-    IncomingReply,
-    Listener,
-    Logger,
-    Network,
-    ServerOptions,
-} from "./host.js";
+import { createNodeBackendConnections, flattenHeaders, toNetworkError } from "./backendConnections.js";
+import type { Disk, Host, HttpRequest, HttpResponse, IncomingReply, Listener, Logger, Network, ServerOptions } from "./host.js";
 import type { Address } from "./types.js";
 
 /** Header that carries the fleet secret between processes. */
@@ -42,8 +30,6 @@
 }
 
 const connectTimeoutMs = 2_000;
-const backendIdleMs = 4_000;
-const probeAfterMs = 1_000;
 /** Longer than every long poll. */
 const maxCallMs = 75_000;
 const keepAliveTimeoutMs = 60_000;
@@ -108,51 +94,10 @@
             }
         },
         linkTo: (address, relay) => createLink(address, pool, fleetSecret, relay),
-        createBackendConnections,
+        createBackendConnections: createNodeBackendConnections,
     };
 }
 
-// Each backend server has a pool of its own, whose connections carry one request at a time.
-function createBackendConnections(options: BackendConnectionOptions): BackendConnections {
-    const pool = new Agent({
-        connect: { timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: probeAfterMs },
-        keepAliveTimeout: backendIdleMs,
-        connections: options.maxConnections,
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-    });
-    return {
-        async request(address, request): Promise<IncomingReply> {
-            try {
-                // The path goes out as it came in, so no URL is built from it.
-                const reply = await pool.request({
-                    origin: `http://${address}`,
-                    path: request.path,
-                    method: request.method as "GET",
-                    headers: request.headers,
-                    body: request.body,
-                    signal: request.signal,
-                });
-                return { status: reply.statusCode, headers: flattenHeaders(reply.headers), body: reply.body };
-            }
-            catch (error) {
-                throw toNetworkError(error, address);
-            }
-        },
-        close: () => void pool.destroy(),
-    };
-}
-
-// Errors that come before a connection stands, so that nothing of the request was sent.
-const notSentCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
-
-function toNetworkError(error: unknown, address: Address): Error {
-    const code = error instanceof Error && "code" in error ? String(error.code) : "";
-    if (notSentCodes.has(code)) return new NotSentError(`no connection to ${address}: ${code}`);
-    return new VError(error instanceof Error ? error : new Error(String(error)), "request to %s failed", address);
-}
-
 function createLink(address: Address, pool: Agent, fleetSecret: string, relay?: Address): TRPCLink<AnyRouter> {
     return httpBatchLink({
         url: relay === undefined ? `http://${address}/rpc` : `http://${relay}${relayPrefix}${address}/rpc`,
@@ -313,14 +258,6 @@
     return Array.isArray(value) ? value[0] : value;
 }
 
-function flattenHeaders(headers: Readonly<Record<string, string | readonly string[] | undefined>>): Readonly<Record<string, string>> {
-    const flat: Record<string, string> = {};
-    for (const [key, value] of Object.entries(headers)) {
-        if (value !== undefined) flat[key] = typeof value === "string" ? value : value.join(", ");
-    }
-    return flat;
-}
-
 function createNodeDisk(): Disk {
     return {
         async ensureFolder(folder) {
--- /dev/null
+++ b/test/backendConnections.test.ts
@@ -0,0 +1,76 @@
+/** Connections to backend servers on real sockets: answers that end with their connection, and what is sent again. */
+import * as net from "node:net";
+import t from "tap";
+import { createNodeBackendConnections } from "../src/kernel/backendConnections.js";
+import type { BackendConnections } from "../src/kernel/host.js";
+import { NotSentError } from "../src/kernel/host.js";
+import { readAll } from "../src/kernel/tasks.js";
+
+/** A server that answers each request by the given function, and counts its connections. */
+async function serve(answer: (socket: net.Socket) => void) {
+    const counts = { connections: 0 };
+    const server = net.createServer(socket => {
+        counts.connections++;
+        socket.on("error", () => undefined);
+        socket.on("data", () => answer(socket));
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as net.AddressInfo;
+    return { address: `127.0.0.1:${port}`, counts, close: () => server.close() };
+}
+
+function createConnections(maxConnections = 4): BackendConnections {
+    return createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections });
+}
+
+async function get(connections: BackendConnections, address: string): Promise<string> {
+    const reply = await connections.request(address, { method: "GET", path: "/" });
+    return Buffer.from(await readAll(reply.body)).toString();
+}
+
+t.test("unframed answer that ends is whole", async t => {
+    const server = await serve(socket => socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"));
+    const connections = createConnections();
+    t.equal(await get(connections, server.address), "whole");
+    connections.close();
+    server.close();
+});
+
+t.test("unframed answer that is reset is not whole", async t => {
+    const server = await serve(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+        setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+    const connections = createConnections();
+    await t.rejects(get(connections, server.address));
+    connections.close();
+    server.close();
+});
+
+t.test("connection is used again", async t => {
+    const server = await serve(socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    const connections = createConnections();
+    for (let count = 0; count < 3; count++) t.equal(await get(connections, server.address), "ok");
+    t.equal(server.counts.connections, 1);
+    connections.close();
+    server.close();
+});
+
+t.test("answer that is given up frees its connection", async t => {
+    const server = await serve(socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"));
+    const connections = createConnections(1);
+    const giveUp = new AbortController();
+    await connections.request(server.address, { method: "GET", path: "/", signal: giveUp.signal });
+    await t.rejects(connections.request(server.address, { method: "GET", path: "/" }), NotSentError);
+    giveUp.abort();
+    const reply = await connections.request(server.address, { method: "GET", path: "/" });
+    t.equal(reply.status, 200);
+    connections.close();
+    server.close();
+});
+
+t.test("refused connection has sent nothing", async t => {
+    const server = await serve(() => undefined);
+    server.close();
+    await t.rejects(createConnections().request(server.address, { method: "GET", path: "/" }), NotSentError);
+});
