Hold few tokens ahead at direct entries; pass unframed answers on unframed

Cause 2: a backend server that dies in order in the middle of an answer without a length cannot be told from one that ended it, so the answer goes on without a length.

A budget whose rest is held by running requests now answers 503 with a time to come back, not 402.

--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -46,6 +46,8 @@
 
 /** How long a starving request keeps others from taking more than they need. */
 const starvingMs = 1_000;
+/** Time within which an entry that can be reached answers a recall. */
+const recallWaitMs = 1_500;
 /** Control time for which the sequence numbers of an incarnation's leases are remembered. */
 const rememberSequenceMs = 24 * 3_600_000;
 
@@ -226,8 +228,9 @@
             return createGrant({ ...settled, renewedAtMs: nowMs }, "granted", getHeldTokens(settled), nowMs);
         }
         const expiresAtMs = Math.max(settled.expiresAtMs, nowMs + rules.leaseMs);
-        setLease({ ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false });
-        return grant({ ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false }, renewal, rules, settled.isRecalled, nowMs);
+        const renewed: Lease = { ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false, recalledSinceMs: undefined };
+        setLease(renewed);
+        return grant(renewed, renewal, rules, settled.isRecalled, nowMs);
     }
 
     // A lease id is used once. A delayed renewal of a closed lease must not open it again.
@@ -304,14 +307,17 @@
         freeTokens: number,
         nowMs: number,
     ): LeaseGrant {
-        const reachable = others.filter(other => other.state === "open" && other.expiresAtMs >= nowMs);
+        // A lease that was recalled a while ago and not renewed since belongs to an entry that is gone or cut off.
+        const reachable = others.filter(other =>
+            other.state === "open" && other.expiresAtMs >= nowMs && nowMs - (other.recalledSinceMs ?? nowMs) <= recallWaitMs
+        );
         const reachableTokens = reachable.reduce((sum, other) => sum + getHeldTokens(other), getHeldTokens(lease) + freeTokens);
         if (reachableTokens < renewal.starvingTokens || (!rules.isRecallOn && getHeldTokens(lease) === 0)) {
             return createGrant(lease, "exhausted", 0, nowMs);
         }
         if (rules.isRecallOn) {
             setAccount({ ...getAccount(lease.budget), starvingUntilMs: nowMs + starvingMs });
-            for (const other of reachable) setLease({ ...other, isRecalled: true });
+            for (const other of reachable) setLease({ ...other, isRecalled: true, recalledSinceMs: other.recalledSinceMs ?? nowMs });
         }
         return createGrant(lease, "recalling", 0, nowMs);
     }
--- a/src/control/plugins/budgets/types.ts
+++ b/src/control/plugins/budgets/types.ts
@@ -25,6 +25,8 @@
     readonly expiresAtMs: number;
     /** True while control waits for this lease's unreserved tokens. The next renewal clears it. */
     readonly isRecalled: boolean;
+    /** When control began to wait. Undefined once the lease was renewed. */
+    readonly recalledSinceMs?: number;
 }
 
 /** One budget. */
--- a/src/entry/budgets/demand.ts
+++ b/src/entry/budgets/demand.ts
@@ -12,15 +12,22 @@
     getUrgentTokens(nowMs: number): number;
 }
 
-const rateHalfLifeMs = 60_000;
-const sizeHalfLifeMs = 60_000;
-/** A rate that was measured for less than this is not extrapolated further. */
-const minMeasuredMs = 10_000;
-const requestsAhead = 6;
-const urgentHorizonMs = 3_000;
+/** How a meter weighs what it has seen. */
+export interface DemandRules {
+    readonly halfLifeMs: number;
+    /** A rate that was measured for less than this is not extrapolated further. */
+    readonly minMeasuredMs: number;
+    /** Requests of the largest size that are good to hold tokens for. */
+    readonly requestsAhead: number;
+    readonly urgentHorizonMs: number;
+}
+
+/** Rules for an entry that seldom talks to control. */
+export const defaultDemandRules: DemandRules = { halfLifeMs: 60_000, minMeasuredMs: 10_000, requestsAhead: 6, urgentHorizonMs: 3_000 };
 
 /** Creates a meter that has seen nothing. */
-export function createDemandMeter(): DemandMeter {
+export function createDemandMeter(rules: DemandRules = defaultDemandRules): DemandMeter {
+    const { halfLifeMs, minMeasuredMs, requestsAhead, urgentHorizonMs } = rules;
     let weightedTokens = 0;
     let largestTokens = 0;
     let startedAtMs: number | undefined;
@@ -41,7 +48,7 @@
         },
         getUrgentTokens(nowMs) {
             decay(nowMs);
-            return Math.ceil(getRatePerMs(nowMs) * urgentHorizonMs + largestTokens);
+            return Math.ceil(getRatePerMs(nowMs) * urgentHorizonMs + Math.min(1, requestsAhead) * largestTokens);
         },
     };
 
@@ -49,14 +56,14 @@
         startedAtMs ??= nowMs;
         const elapsedMs = nowMs - updatedAtMs;
         updatedAtMs = nowMs;
-        weightedTokens *= 2 ** (-elapsedMs / rateHalfLifeMs);
-        largestTokens *= 2 ** (-elapsedMs / sizeHalfLifeMs);
+        weightedTokens *= 2 ** (-elapsedMs / halfLifeMs);
+        largestTokens *= 2 ** (-elapsedMs / halfLifeMs);
     }
 
     // The weights of the time measured so far sum to less than those of an endless one, which is made good.
     function getRatePerMs(nowMs: number): number {
         const measuredMs = Math.max(minMeasuredMs, nowMs - (startedAtMs ?? nowMs));
-        const weightMs = rateHalfLifeMs / Math.LN2 * (1 - 2 ** (-measuredMs / rateHalfLifeMs));
+        const weightMs = halfLifeMs / Math.LN2 * (1 - 2 ** (-measuredMs / halfLifeMs));
         return weightedTokens / weightMs;
     }
 }
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -10,8 +10,8 @@
 import type { Signal } from "../../kernel/tasks.js";
 import type { Incarnation } from "../../kernel/types.js";
 import { refuse } from "../../kernel/verdict.js";
-import { createDemandMeter } from "./demand.js";
-import type { DemandMeter } from "./demand.js";
+import { createDemandMeter, defaultDemandRules } from "./demand.js";
+import type { DemandMeter, DemandRules } from "./demand.js";
 
 /** What an owner's preference means at the entry. */
 export interface BudgetPreference {
@@ -79,6 +79,7 @@
     /** Delay of a settlement after a quiet time, and at most in a steady stream. */
     readonly settleDelayMs: { readonly quiet: number; readonly steady: number; };
     readonly renewTimeoutMs: number;
+    readonly demand: DemandRules;
 }
 
 /** Pacing for a large fleet, whose control must not be called often. */
@@ -87,6 +88,7 @@
     refillPauseMs: { given: 1_000, refused: 10_000 },
     settleDelayMs: { quiet: 1_000, steady: 10_000 },
     renewTimeoutMs: 1_500,
+    demand: defaultDemandRules,
 };
 
 interface HeldLease {
@@ -139,7 +141,8 @@
 export function createLeaseBook(host: Host, options: LeaseBookOptions): LeaseBook {
     const { control } = options;
     // A settlement waits for others: a short while after a quiet time, and twice as long after each renewal in a steady stream.
-    const { tickMs, refillPauseMs, settleDelayMs, renewTimeoutMs } = options.pacing ?? defaultLeasePacing;
+    const pacing = options.pacing ?? defaultLeasePacing;
+    const { tickMs, refillPauseMs, settleDelayMs, renewTimeoutMs } = pacing;
     const log = host.createLogger("budgets");
     const preferences = options.preferences ?? budgetPreferences;
     const leases = new Map<string, HeldLease>();
@@ -199,7 +202,7 @@
         const created: HeldLease = {
             budget: request.budget,
             leaseId: `${options.incarnation}/${sequence}`,
-            demand: createDemandMeter(),
+            demand: createDemandMeter(pacing.demand),
             changed: createSignal(host.timers),
             preference: preferences[request.weighsMore],
             grantedTokens: 0,
@@ -263,7 +266,7 @@
         if (lease.isUnknown) refuse("budgetExhausted", "The budget is not in the configuration in force.");
         if (lease.lastOutcome === "exhausted") refuse("budgetExhausted", undefined, exhaustedRetryMs);
         if (lease.lastOutcome === "unreachable") refuse("budgetUnavailable", undefined, retryAfterMs);
-        refuse("budgetExhausted", "The rest of the prepaid budget is held by running requests.", retryAfterMs);
+        refuse("budgetHeld", undefined, retryAfterMs);
     }
 
     function take(lease: HeldLease, tokens: number): Reservation {
--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -16,6 +16,8 @@
     readonly status: number;
     readonly headers: Headers;
     readonly body: Uint8Array;
+    /** True when the backend server did not say how long its body is. */
+    readonly isUnframed: boolean;
 }
 
 /** What an attempt came to. */
@@ -30,7 +32,7 @@
 export interface StreamSink {
     readonly hasStarted: boolean;
     readonly lastEventId: string | undefined;
-    start(status: number, headers: Headers): void;
+    start(status: number, headers: Headers, isUnframed: boolean): void;
     write(data: Uint8Array, eventCount: number, lastEventId: string | undefined): Promise<void>;
 }
 
@@ -107,7 +109,7 @@
             return fail("mayHaveRun", "backendServerFailed", "failed", problem);
         }
         options.onStarted();
-        return head.status < 300 && isStream(call.route) ? followStream(head, reply.body) : readAnswer(head, reply.body);
+        return head.status < 300 && isStream(call.route) ? followStream(head, reply) : readAnswer(head, reply);
     }
 
     // A success needs the proof of the backend server. A failure without it may come from anything on the way.
@@ -118,15 +120,16 @@
         return head.isSealed || head.status >= 400 ? undefined : "The answer is not sealed.";
     }
 
-    async function readAnswer(head: ReplyHead, body: AsyncIterable<Uint8Array>): Promise<AttemptOutcome> {
-        const data = await readBody(body);
-        return { kind: "answer", answer: { status: head.status, headers: head.passedHeaders, body: data } };
+    async function readAnswer(head: ReplyHead, reply: IncomingReply): Promise<AttemptOutcome> {
+        const data = await readBody(reply.body);
+        const isUnframed = reply.isUnframed === true;
+        return { kind: "answer", answer: { status: head.status, headers: head.passedHeaders, body: data, isUnframed } };
     }
 
-    async function followStream(head: ReplyHead, body: AsyncIterable<Uint8Array>): Promise<AttemptOutcome> {
-        if (!sink.hasStarted) sink.start(head.status, head.passedHeaders);
+    async function followStream(head: ReplyHead, reply: IncomingReply): Promise<AttemptOutcome> {
+        if (!sink.hasStarted) sink.start(head.status, head.passedHeaders, reply.isUnframed === true);
         const framer = createEventFramer(sink.lastEventId);
-        for await (const chunk of body) {
+        for await (const chunk of reply.body) {
             const framed = framer.push(chunk);
             if (framed.count > 0) await sink.write(framed.data, framed.count, framer.lastEventId);
             else if (framed.data.length > 0) await sink.write(framed.data, 0, framer.lastEventId);
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -158,8 +158,9 @@
     }
 
     async function writeAnswer(answer: WholeAnswer): Promise<Delivery> {
-        const headers = { ...answer.headers, ...options.getAnswerHeaders(), "content-length": String(answer.body.length) };
-        response.start(answer.status, headers);
+        const headers = { ...answer.headers, ...options.getAnswerHeaders() };
+        if (answer.isUnframed) response.start(answer.status, headers, true);
+        else response.start(answer.status, { ...headers, "content-length": String(answer.body.length) });
         if (answer.body.length > 0 && call.request.method !== "HEAD") await response.write(answer.body);
         response.end();
         return createDelivery(undefined);
@@ -178,7 +179,7 @@
             get lastEventId() {
                 return progress.lastEventId;
             },
-            start: (status, headers) => response.start(status, { ...headers, ...options.getAnswerHeaders() }),
+            start: (status, headers, isUnframed) => response.start(status, { ...headers, ...options.getAnswerHeaders() }, isUnframed),
             async write(data, eventCount, lastEventId) {
                 progress.deliveredEvents += eventCount;
                 progress.lastEventId = lastEventId;
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -108,7 +108,7 @@
     try {
         yield* reply.body;
         // undici takes a reset for the end of an answer that has no length.
-        if (connection.socketError !== undefined && !isFramed(reply)) throw connection.socketError;
+        if (connection.socketError !== undefined && reply.isUnframed === true) throw connection.socketError;
     }
     finally {
         release();
@@ -124,11 +124,9 @@
         body: request.body,
         signal: request.signal,
     });
-    return { status: reply.statusCode, headers: flattenHeaders(reply.headers), body: reply.body };
-}
-
-function isFramed(reply: IncomingReply): boolean {
-    return reply.headers["content-length"] !== undefined || reply.headers["transfer-encoding"] !== undefined;
+    const headers = flattenHeaders(reply.headers);
+    const isUnframed = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+    return { status: reply.statusCode, headers, body: reply.body, isUnframed: isUnframed && request.method !== "HEAD" };
 }
 
 /** Joins the values of headers that come more than once. */
--- a/src/kernel/diagnostics.ts
+++ b/src/kernel/diagnostics.ts
@@ -23,6 +23,7 @@
     overloaded: { status: 503, title: "Overloaded", text: "The request cannot meet its deadline under the present load." },
     queueFull: { status: 503, title: "Queue full", text: "The waiting line is full." },
     budgetExhausted: { status: 402, title: "Budget exhausted", text: "The prepaid budget cannot cover this request." },
+    budgetHeld: { status: 503, title: "Budget held", text: "The rest of the prepaid budget is held by running requests." },
     budgetUnavailable: {
         status: 503,
         title: "Budget unavailable",
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -45,7 +45,8 @@
 /** The answering side of one HTTP exchange. */
 export interface HttpResponse {
     readonly hasStarted: boolean;
-    start(status: number, headers: Readonly<Record<string, string>>): void;
+    /** An unframed body ends with the connection, so that the other side cannot take it for proven whole. */
+    start(status: number, headers: Readonly<Record<string, string>>, isUnframed?: boolean): void;
     /** Resolves when the other side can take more, so that slow readers slow the writer. */
     write(chunk: Uint8Array): Promise<void>;
     end(): void;
@@ -96,6 +97,8 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: AsyncIterable<Uint8Array>;
+    /** True when only the end of the connection tells where the body ends. */
+    readonly isUnframed?: boolean;
 }
 
 /** Thrown when a connection was refused, so that the request certainly did not arrive. */
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -232,7 +232,11 @@
         get hasStarted() {
             return outgoing.headersSent;
         },
-        start(status, headers) {
+        start(status, headers, isUnframed = false) {
+            if (isUnframed) {
+                outgoing.removeHeader("transfer-encoding");
+                outgoing.shouldKeepAlive = false;
+            }
             outgoing.writeHead(status, headers);
             outgoing.flushHeaders();
         },
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -226,6 +226,8 @@
     refillPauseMs: { given: 150, refused: 400 },
     settleDelayMs: { quiet: 500, steady: 2_000 },
     renewTimeoutMs: 900,
+    // Little is held ahead, because what an entry holds is lost with it.
+    demand: { halfLifeMs: 3_000, minMeasuredMs: 1_500, requestsAhead: 0.5, urgentHorizonMs: 400 },
 } as const;
 
 /** Settings of an entry that dispatches to backend servers itself. */
