--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -12,7 +12,7 @@
 import { assert } from "../kernel/debug.js";
 import type { Host } from "../kernel/host.js";
 import { commandSchemas, querySchemas } from "../kernel/messages.js";
-import type { CommandKind, ControlReply } from "../kernel/messages.js";
+import type { CommandKind, CommandResults, ControlReply } from "../kernel/messages.js";
 import { createRegistry } from "../kernel/registry.js";
 import type { ControlPlugin } from "../kernel/registry.js";
 import { rpc } from "../kernel/rpc.js";
@@ -27,7 +27,7 @@
 import { defaultTiming } from "./log/replicaTypes.js";
 import type { BarrierResult, ProposeResult, Replica, ReplicaTiming } from "./log/replicaTypes.js";
 import { openStore } from "./log/store.js";
-import { getVoters } from "./log/types.js";
+import { getMembers, getVoters } from "./log/types.js";
 import type { Member } from "./log/types.js";
 import type { ControlState } from "./plugins/index.js";
 import { createStateMachine } from "./stateMachine.js";
@@ -104,7 +104,7 @@
     const tasks = createLeaderTasks(host, { replica, state, submit });
     const directory = createControlDirectory(host, host.random.nextId(), {
         listPeers: () =>
-            getVoters(replica.getStatus().membership).map(voter => voter.address).filter(address => address !== options.self.address),
+            getMembers(replica.getStatus().membership).map(member => member.address).filter(address => address !== options.self.address),
         countVoters: () => getVoters(replica.getStatus().membership).length,
         isConnected: () => replica.getStatus().isConnected,
     });
@@ -162,6 +162,7 @@
         if (proposed.kind === "notLeader") return proposed;
         if (proposed.kind === "unknown") return { kind: "unavailable", detail: "the outcome is not known yet" };
         const outcome = proposed.result as ApplyOutcome;
+        if (kind === "leases.renew" && outcome.kind === "ok") logRefusedLeases(outcome.result as CommandResults["leases.renew"]);
         if (outcome.kind === "operationConflict") {
             return { kind: "rejected", detail: `this operation id was used before for another ${kind}` };
         }
@@ -169,6 +170,14 @@
         return { kind: "done", index: outcome.index, controlTimeMs: proposed.controlTimeMs, result: outcome.result };
     }
 
+    function logRefusedLeases({ grants }: CommandResults["leases.renew"]): void {
+        for (const grant of grants.filter(grant => grant.outcome === "exhausted" || grant.outcome === "recalling")) {
+            const lease = state.ledger.getLease(grant.leaseId);
+            const view = lease === undefined ? undefined : state.ledger.getView(lease.budget);
+            log.info("A budget cannot cover a request.", { ...view, vm: lease?.vm, leaseId: grant.leaseId, outcome: grant.outcome });
+        }
+    }
+
     async function query(request: { readonly kind: keyof typeof querySchemas; readonly input?: unknown; }): Promise<ControlReply<unknown>> {
         const parsed = querySchemas[request.kind].safeParse(request.input);
         if (!parsed.success) return { kind: "rejected", detail: describe(parsed.error.issues) };
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -14,7 +14,7 @@
 
 /** What the directory knows of the control group. */
 export interface DirectoryGroup {
-    /** Addresses of the other voters. */
+    /** Addresses of the other members, learners included. */
     listPeers(): readonly Address[];
     /** Voters, this VM included. */
     countVoters(): number;
