--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -33,6 +33,8 @@
     readonly verdict?: Verdict;
     /** True when the call may have run anywhere. */
     readonly mayHaveRun: boolean;
+    /** True when a backend server began to answer. */
+    readonly hasAnswered: boolean;
     readonly deliveredEvents: number;
     readonly attempts: number;
 }
@@ -41,6 +43,7 @@
     readonly tried: Set<string>;
     /** Attempts that may have run, which count against the route's bound. */
     runs: number;
+    hasAnswered: boolean;
     dispatches: number;
     deliveredEvents: number;
     lastEventId: string | undefined;
@@ -60,6 +63,7 @@
     const progress: Progress = {
         tried: new Set(),
         runs: 0,
+        hasAnswered: false,
         dispatches: 0,
         deliveredEvents: 0,
         lastEventId: undefined,
@@ -111,6 +115,7 @@
             onLoad: load => options.loads.noteLoad(server.backendServer, load, host.clock.nowMs()),
             onStarted: () => {
                 dispatch.hasStarted = true;
+                progress.hasAnswered = true;
             },
         });
         const end = outcome.kind === "failed" ? outcome.end : outcome.kind === "answer" && outcome.answer.status >= 500 ? "failed" : "good";
@@ -167,8 +172,8 @@
     }
 
     function createDelivery(verdict: Verdict | undefined): Delivery {
-        const { runs, deliveredEvents, dispatches } = progress;
-        return { verdict, mayHaveRun: runs > 0, deliveredEvents, attempts: dispatches };
+        const { runs, hasAnswered, deliveredEvents, dispatches } = progress;
+        return { verdict, mayHaveRun: runs > 0, hasAnswered, deliveredEvents, attempts: dispatches };
     }
 
     function createSink(): StreamSink {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -49,7 +49,7 @@
 
 /** How long a request may wait for tokens that other entries hold. */
 const budgetWaitMs = 700;
-const budgetHorizonMs = 1_200;
+const budgetHorizonMs = 300;
 const readyGoneMs = 2_500;
 const stopPollMs = 50;
 const closeLeasesMs = 800;
@@ -192,11 +192,28 @@
             const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : getBilledTokens(call, delivery);
             reservation?.settle(directAgent, Math.min(billedTokens, reservation.reservedTokens));
         }
+        logEnd(call, delivery);
         if (delivery.verdict !== undefined && !response.hasStarted) {
             writeRefusal(call.request, response, delivery.verdict, call.head.requestId, call.arrivedAtMs);
         }
     }
 
+    function logEnd(call: DirectCall, delivery: Delivery): void {
+        const { generation } = call.head;
+        log.info("A request ended.", {
+            requestId: call.head.requestId,
+            route: call.route.name,
+            account: call.account?.name,
+            outcome: delivery.verdict?.code ?? "answered",
+            attempts: delivery.attempts,
+            events: delivery.deliveredEvents,
+            billedTokens: getBilledTokens(call, delivery),
+            reservedTokens: generation === undefined ? 0 : generation.promptTokens + generation.maxCompletionTokens,
+            version: configuration.version,
+            tookMs: Math.round(host.clock.nowMs() - call.arrivedAtMs),
+        });
+    }
+
     async function reserve(call: DirectCall): Promise<Reservation | undefined> {
         const { generation } = call.head;
         if (generation === undefined || call.account === undefined) return undefined;
@@ -211,7 +228,7 @@
     // The prompt counts once for each call that may have run, and the completion by the events that were delivered.
     function getBilledTokens(call: DirectCall, delivery: Delivery): number {
         const { generation } = call.head;
-        if (generation === undefined || !delivery.mayHaveRun) return 0;
+        if (generation === undefined || !delivery.hasAnswered) return 0;
         return generation.promptTokens + getCompletionTokens(call, generation, delivery);
     }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -195,7 +195,7 @@
         self,
         dataFolder,
         timing: settings.timing,
-        createState: (register, registry) => createControlState(register, registry),
+        createState: (register, registry) => createControlState(register, registry, { leaseRules: directLeaseRules }),
         group: { seeds, targetVoters: settings.targetVoters },
     });
     const paths = createControlPaths(host, [fleetListen, ...seeds.filter(seed => seed !== fleetListen)]);
@@ -219,6 +219,11 @@
 }
 
 const followMembersMs = 500;
+/** Entries that dispatch themselves hold a small part of what is free, because it is lost with them. */
+const directLeaseRules = {
+    overspend: { leaseMs: 300_000, maxGrantShare: 0.1, isRecallOn: true },
+    falseRefusals: { leaseMs: 300_000, maxGrantShare: 0.1, isRecallOn: true },
+} as const;
 /** Calls within a region answer in a few milliseconds, so a silent way is soon given up. */
 const directClientTiming = { attemptTimeoutMs: 350, probeEveryMs: 500 } as const;
 const directLeasePacing = {
@@ -227,7 +232,7 @@
     settleDelayMs: { quiet: 500, steady: 2_000 },
     renewTimeoutMs: 900,
     // Little is held ahead, because what an entry holds is lost with it.
-    demand: { halfLifeMs: 3_000, minMeasuredMs: 1_500, requestsAhead: 0.5, urgentHorizonMs: 400 },
+    demand: { halfLifeMs: 3_000, minMeasuredMs: 1_500, requestsAhead: 0.2, urgentHorizonMs: 150 },
 } as const;
 
 /** Settings of an entry that dispatches to backend servers itself. */
