Name the voter that is meant in each call between replicas

Cause: a control VM whose disk was emptied came back at its old address under a new identity, and the leader's appends and votes for the old identity reached it there.

Ruled out: the join itself (a test on fake hosts passed without the change, because there the join came before the first append).

Test: 'emptied disk does not answer for the voter that it was' fails before, passes now.

--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -134,8 +134,9 @@
             const call = clients.get(address).join.mutate({ ...self }) as Promise<ControlReply<boolean>>;
             return await withTimeout(host.timers, call, joinTimeoutMs, "join");
         }
-        catch {
+        catch (error) {
             // The next tick asks another one.
+            log.debug("A control VM did not answer a request to join.", { address, detail: getErrorText(error) });
             return undefined;
         }
     }
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -93,7 +93,7 @@
             let waiting = others.length;
             const ask = async (voter: Member) => {
                 try {
-                    const reply = await withTimeout(host.timers, options.calls.vote(voter.address, request), timing.callTimeoutMs, "vote");
+                    const reply = await withTimeout(host.timers, options.calls.vote(voter, request), timing.callTimeoutMs, "vote");
                     if (reply.isGranted) granted.add(voter.voterId);
                     else if (reply.term > term) await core.exclusive(() => followLater(reply.term));
                 }
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -79,6 +79,7 @@
     loadSnapshot(store.snapshot);
 
     return {
+        voterId: self.voterId,
         start() {
             void applyTask();
             void election.run();
@@ -357,7 +358,7 @@
         );
         if (isCaughtUp && leading.isRunning()) {
             const term = store.hardState.term;
-            await withTimeout(host.timers, options.calls.startElection(target.address, term), timing.callTimeoutMs, "hand-over")
+            await withTimeout(host.timers, options.calls.startElection(target, term), timing.callTimeoutMs, "hand-over")
                 .catch(() => undefined);
             for (let waited = 0; waited < handoverTimeoutMs && leading.isRunning(); waited += timing.heartbeatMs) {
                 await sleep(host.timers, timing.heartbeatMs);
--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -21,12 +21,15 @@
 /** What a replica is doing. */
 export type ReplicaRole = "follower" | "candidate" | "leader";
 
+/** Which replica is meant, and where it was last. */
+export type PeerAddress = Pick<Member, "voterId" | "address">;
+
 /** Calls to the other replicas. */
 export interface PeerCalls {
-    vote(address: Address, request: VoteRequest): Promise<VoteReply>;
-    append(address: Address, request: AppendRequest): Promise<AppendReply>;
-    installSnapshot(address: Address, chunk: SnapshotChunk): Promise<SnapshotReply>;
-    startElection(address: Address, term: number): Promise<void>;
+    vote(to: PeerAddress, request: VoteRequest): Promise<VoteReply>;
+    append(to: PeerAddress, request: AppendRequest): Promise<AppendReply>;
+    installSnapshot(to: PeerAddress, chunk: SnapshotChunk): Promise<SnapshotReply>;
+    startElection(to: PeerAddress, term: number): Promise<void>;
 }
 
 /** The state machine that entries are applied to. */
@@ -71,6 +74,7 @@
 
 /** One replica of the log. */
 export interface Replica {
+    readonly voterId: VoterId;
     start(): void;
     stop(): void;
     propose(operationId: string, command: string, input: unknown): Promise<ProposeResult>;
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -134,7 +134,7 @@
         };
         const reply: AppendReply = await withTimeout(
             host.timers,
-            options.calls.append(peer.address, request),
+            options.calls.append(peer, request),
             timing.callTimeoutMs,
             "append",
         );
@@ -156,7 +156,7 @@
         if (peer.snapshotOffsetBytes > data.length) peer.snapshotOffsetBytes = 0;
         const reply: SnapshotReply = await withTimeout(
             host.timers,
-            options.calls.installSnapshot(peer.address, {
+            options.calls.installSnapshot(peer, {
                 term,
                 leaderId: self.voterId,
                 leaderAddress: self.address,
--- /dev/null
+++ b/test/directFleet.ts
@@ -0,0 +1,261 @@
+/** A fleet that dispatches directly, on fake hosts, with stand-ins of the platform's backend servers, operator and callers. */
+import { createControlApi } from "../platform/controlApi.js";
+import { platformProtocol } from "../platform/requests.js";
+import type { Control } from "../src/control/control.js";
+import type { Gateway } from "../src/entry/direct/gateway.js";
+import type { HttpHandler, HttpRequest, HttpResponse, IncomingReply } from "../src/kernel/host.js";
+import { readAll } from "../src/kernel/tasks.js";
+import { createFakeWorld } from "../src/standins/fakeHost.js";
+import type { FakeVm, FakeWorld } from "../src/standins/fakeHost.js";
+import { startGateway, startMemberControl, startRelay } from "../src/wiring.js";
+import type { RunningProcess } from "../src/wiring.js";
+
+export const fleetPort = 7200;
+export const controlPort = 8748;
+export const callerPort = 8740;
+const serverPort = 8080;
+
+export interface ControlVm {
+    readonly vm: FakeVm;
+    process: RunningProcess<Control> | undefined;
+}
+
+export interface EntryVm {
+    readonly vm: FakeVm;
+    process: RunningProcess<Gateway> | undefined;
+}
+
+/** What a stand-in backend server does with a request. It answers whole and sealed unless told otherwise. */
+export type ServerBehaviour = (request: HttpRequest, response: HttpResponse, server: StandInServer) => Promise<void>;
+
+export interface StandInServer {
+    readonly id: string;
+    readonly vm: FakeVm;
+    readonly address: string;
+    /** Attempt ids of the requests that it ran. */
+    readonly runs: string[];
+    readonly seen: HttpRequest[];
+    behaviour: ServerBehaviour;
+    sequence: number;
+    state: "ready" | "draining";
+}
+
+export interface DirectFleet {
+    readonly world: FakeWorld;
+    readonly controls: ControlVm[];
+    readonly entries: EntryVm[];
+    readonly servers: StandInServer[];
+    readonly callerVm: FakeVm;
+    startControl(index: number, isFounding: boolean): Promise<void>;
+    startEntry(index: number): Promise<void>;
+    addControl(ip: string): number;
+    getLeader(): Control | undefined;
+    /** Sends a set to a control VM and returns the status. */
+    replace(index: number, state: object): Promise<number>;
+    read(index: number): Promise<{ readonly status: number; readonly text: string; }>;
+    heartbeat(server: StandInServer, controlIndex: number): Promise<number>;
+    call(entryIndex: number, options: CallOptions): Promise<CallResult>;
+}
+
+export interface CallOptions {
+    readonly path: string;
+    readonly id: string;
+    readonly key?: string;
+    readonly tokens?: string;
+    readonly method?: string;
+    readonly deadlineMs?: number;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly signal?: AbortSignal;
+}
+
+export interface CallResult {
+    /** Undefined when the connection ended without an answer. */
+    readonly status?: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly text: string;
+    readonly isWhole: boolean;
+}
+
+/** Starts founders, entries, relays and ready backend servers of one pool, with a set in force. */
+export async function createDirectFleet(
+    seed: number,
+    options: { entries?: number; servers?: number; state?: object; } = {},
+): Promise<DirectFleet> {
+    const world = createFakeWorld(seed);
+    const seeds = [1, 2, 3].map(number => `10.0.0.${number}:${fleetPort}`);
+    const controls: ControlVm[] = [1, 2, 3].map(number => ({ vm: world.createVm(`10.0.0.${number}`), process: undefined }));
+    const entries: EntryVm[] = Array.from({ length: options.entries ?? 1 }, (_, index) => ({
+        vm: world.createVm(`10.0.1.${index + 1}`),
+        process: undefined,
+    }));
+    const servers: StandInServer[] = [];
+    const callerVm = world.createVm("10.0.9.1");
+    const fleet: DirectFleet = {
+        world,
+        controls,
+        entries,
+        servers,
+        callerVm,
+        async startControl(index, isFounding) {
+            const control = controls[index]!;
+            const { ip, host } = control.vm;
+            control.process = await startMemberControl(host, {
+                vm: `control-${index + 1}`,
+                failureDomain: "a",
+                fleetListen: `${ip}:${fleetPort}`,
+                groupId: "test",
+                dataFolder: "/data",
+                seeds,
+                isFounding,
+                targetVoters: 3,
+            }, (part, client) => ({ address: `${ip}:${controlPort}`, handler: createControlApi(host, client, part) }));
+        },
+        async startEntry(index) {
+            const entry = entries[index]!;
+            const { ip, host } = entry.vm;
+            entry.process = await startGateway(host, {
+                vm: `entry-${index + 1}`,
+                failureDomain: "a",
+                listen: `${ip}:${callerPort}`,
+                readyListen: `${ip}:8749`,
+                fleetListen: `${ip}:${fleetPort}`,
+                seeds,
+                retryRules: { windowMs: 10_000, ratio: 0.2, slack: 5 },
+                stopMs: 6_000,
+                maxConnections: 20,
+                connectTimeoutMs: 400,
+            }, platformProtocol);
+        },
+        addControl: ip => controls.push({ vm: world.createVm(ip), process: undefined }) - 1,
+        getLeader: () => controls.map(control => control.process?.part).find(part => part?.replica.getStatus().role === "leader"),
+        async replace(index, state) {
+            return (await post(`${controls[index]!.vm.ip}:${controlPort}`, "/config/replace", state)).status;
+        },
+        async read(index) {
+            const reply = await callerVm.host.network.request(`${controls[index]!.vm.ip}:${controlPort}`, {
+                method: "GET",
+                path: "/config/read",
+            });
+            return { status: reply.status, text: Buffer.from(await readAll(reply.body)).toString() };
+        },
+        async heartbeat(server, controlIndex) {
+            server.sequence++;
+            const { id, address, sequence, state } = server;
+            const body = {
+                service: "models",
+                address,
+                zone: "a",
+                version: "v1",
+                slots: 8,
+                state,
+                cold_left_ms: 0,
+                seq: sequence,
+                born: 1_000,
+            };
+            return (await post(`${controls[controlIndex]!.vm.ip}:${controlPort}`, `/workers/${id}/heartbeat`, body)).status;
+        },
+        call: (entryIndex, call) => sendCall(callerVm, `${entries[entryIndex]!.vm.ip}:${callerPort}`, call),
+    };
+    for (let index = 0; index < 3; index++) await fleet.startControl(index, true);
+    for (let index = 0; index < entries.length; index++) await fleet.startEntry(index);
+    for (let index = 0; index < (options.servers ?? 2); index++) servers.push(await createServer(world, index));
+    await world.advance(1_000);
+    await world.runUntil(fleet.replace(0, options.state ?? createState(1)));
+    for (const server of servers) await world.runUntil(fleet.heartbeat(server, 0));
+    await world.advance(500);
+    return fleet;
+
+    async function post(address: string, path: string, body: object): Promise<IncomingReply> {
+        return callerVm.host.network.request(address, { method: "POST", path, body: Buffer.from(JSON.stringify(body)) });
+    }
+}
+
+/** A set with one pool, a route of each kind below its own prefix, and one account. */
+export function createState(version: number, changes: object = {}): object {
+    const route = { host: "h.example", timeout_ms: 3_000, slo_ms: 300, priority: 0, service: "models", attempts: 2 };
+    return {
+        version,
+        routes: [
+            { ...route, name: "safe", path_prefix: "/safe/", type: "idempotent" },
+            { ...route, name: "once", path_prefix: "/once/", type: "non_idempotent", attempts: 1 },
+            { ...route, name: "stream", path_prefix: "/stream/", type: "streaming", attempts: 1 },
+            { ...route, name: "resume", path_prefix: "/resume/", type: "streaming", resumable: true },
+            { ...route, name: "open", path_prefix: "/open/", type: "idempotent", public: true },
+        ],
+        services: [{ name: "models", health_path: "/healthz", max_conns: 100, runtime: { slots: 8, kv_capacity: 100_000, stride: 2 } }],
+        limits: { max_header_bytes: 16_384, max_body_bytes: 100_000, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
+        tenants: [{ name: "acme", api_keys: ["key-1"], priority: 1, reserved: 100_000 }],
+        ...changes,
+    };
+}
+
+async function createServer(world: FakeWorld, index: number): Promise<StandInServer> {
+    const vm = world.createVm(`10.0.2.${index + 1}`);
+    const server: StandInServer = {
+        id: `server-${index + 1}`,
+        vm,
+        address: `${vm.ip}:${serverPort}`,
+        runs: [],
+        seen: [],
+        behaviour: answerWhole,
+        sequence: 0,
+        state: "ready",
+    };
+    const handler: HttpHandler = async (request, response) => {
+        server.seen.push(request);
+        await server.behaviour(request, response, server);
+    };
+    await vm.host.network.serve({ address: server.address, handler, maxBodyBytes: 1_000_000 });
+    await startRelay(vm.host, { fleetListen: `${vm.ip}:${fleetPort}`, fleetSecret: "" });
+    return server;
+}
+
+/** Headers of a good answer. */
+export function createSeal(request: HttpRequest): Record<string, string> {
+    return { "x-attempt-id": request.headers["x-attempt-id"] ?? "", "x-worker-seal": "seal" };
+}
+
+/** Runs the request and answers it whole: three events where the path asks for a stream. */
+export const answerWhole: ServerBehaviour = async (request, response, server) => {
+    server.runs.push(request.headers["x-attempt-id"] ?? "");
+    response.start(200, createSeal(request));
+    const isStream = /^\/(stream|resume)\//.test(request.path);
+    const from = Number(request.headers["last-event-id"] ?? 0) + 1;
+    if (!isStream) await response.write(Buffer.from(`answer of ${server.id}`));
+    for (let id = from; isStream && id <= 3; id++) await response.write(Buffer.from(`id: ${id}\ndata: piece ${id}\n\n`));
+    response.end();
+};
+
+async function sendCall(vm: FakeVm, address: string, options: CallOptions): Promise<CallResult> {
+    try {
+        const reply = await vm.host.network.request(address, {
+            method: options.method ?? "POST",
+            path: options.path,
+            headers: {
+                "host": "h.example",
+                "x-attempt-id": options.id,
+                "x-deadline-ms": String(options.deadlineMs ?? 2_000),
+                "authorization": `Bearer ${options.key ?? "key-1"}`,
+                ...options.tokens === undefined ? {} : { "x-token-counts": options.tokens },
+                ...options.headers,
+            },
+            body: Buffer.from("body"),
+            signal: options.signal,
+        });
+        return { status: reply.status, headers: reply.headers, ...await readText(reply) };
+    }
+    catch {
+        return { headers: {}, text: "", isWhole: false };
+    }
+}
+
+async function readText(reply: IncomingReply): Promise<{ readonly text: string; readonly isWhole: boolean; }> {
+    const parts: Uint8Array[] = [];
+    try {
+        for await (const part of reply.body) parts.push(part);
+        return { text: Buffer.concat(parts).toString(), isWhole: true };
+    }
+    catch {
+        return { text: Buffer.concat(parts).toString(), isWhole: false };
+    }
+}
--- /dev/null
+++ b/test/group.test.ts
@@ -0,0 +1,83 @@
+/** The control group: founding, emptied disks, new machines, and what is acknowledged through all of it. */
+import { test } from "tap";
+import { createState } from "./directFleet.js";
+import { createDirectFleet } from "./directFleet.js";
+import type { DirectFleet } from "./directFleet.js";
+
+function listVoters(fleet: DirectFleet): readonly string[] {
+    const members = fleet.getLeader()?.replica.getStatus().membership;
+    return members?.nextVoters !== undefined ? [] : [...members?.voters ?? []].map(voter => voter.voterId).sort();
+}
+
+test("founders agree on one group", async t => {
+    const fleet = await createDirectFleet(1);
+    t.strictSame(listVoters(fleet), [1, 2, 3].map(number => `10.0.0.${number}:7200/founder`));
+    t.equal(fleet.controls.filter(control => control.process!.part.replica.getStatus().role === "leader").length, 1);
+});
+
+test("emptied disk joins under a new identity", async t => {
+    const fleet = await createDirectFleet(2);
+    const { world, controls } = fleet;
+    controls[0]!.vm.crash();
+    for (const file of await controls[0]!.vm.disk.createDisk(() => true).list("/data")) {
+        await controls[0]!.vm.disk.createDisk(() => true).remove(`/data/${file}`);
+    }
+    controls[0]!.process = undefined;
+    controls[0]!.vm.restart();
+    await fleet.startControl(0, false);
+    await world.advance(4_000);
+    const voters = listVoters(fleet);
+    t.equal(voters.length, 3);
+    t.notOk(voters.includes("10.0.0.1:7200/founder"));
+    t.ok(voters.some(voter => voter.startsWith("10.0.0.1:7200/")));
+    t.equal((await world.runUntil(fleet.read(0))).status, 200);
+});
+
+test("new machine takes the place of one that is gone", async t => {
+    const fleet = await createDirectFleet(3);
+    const { world, controls } = fleet;
+    controls[2]!.vm.crash();
+    controls[2]!.process = undefined;
+    const index = fleet.addControl("10.0.0.7");
+    await fleet.startControl(index, false);
+    await world.advance(8_000);
+    t.equal(listVoters(fleet).length, 3);
+    t.ok(listVoters(fleet).some(voter => voter.startsWith("10.0.0.7:7200/")));
+    // The next loss is borne by the repaired group.
+    controls[1]!.vm.crash();
+    controls[1]!.process = undefined;
+    await world.advance(3_000);
+    t.equal(await world.runUntil(fleet.replace(index, createState(5))), 200);
+});
+
+test("acknowledged set survives a power loss of all", async t => {
+    const fleet = await createDirectFleet(4);
+    const { world, controls } = fleet;
+    t.equal(await world.runUntil(fleet.replace(1, createState(9))), 200);
+    for (const control of controls) control.vm.crash();
+    for (const [index, control] of controls.entries()) {
+        control.vm.restart();
+        await fleet.startControl(index, false);
+    }
+    await world.advance(3_000);
+    const read = await world.runUntil(fleet.read(2));
+    t.equal(read.status, 200);
+    t.equal((JSON.parse(read.text) as { version: number; }).version, 9);
+});
+
+test("emptied disk does not answer for the voter that it was", async t => {
+    const fleet = await createDirectFleet(5);
+    const { world, controls } = fleet;
+    const emptied = controls[0]!;
+    emptied.vm.crash();
+    for (const file of await emptied.vm.disk.createDisk(() => true).list("/data")) {
+        await emptied.vm.disk.createDisk(() => true).remove(`/data/${file}`);
+    }
+    emptied.vm.restart();
+    await fleet.startControl(0, false);
+    controls[1]!.vm.crash();
+    controls[1]!.process = undefined;
+    // One founder is left, which is no majority however the emptied VM answers.
+    await world.advance(5_000);
+    t.equal((await world.runUntil(fleet.read(2))).status, 503);
+});
