--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -93,7 +93,7 @@
 
     return {
         handle,
-        isReady: () => configuration.isReady() && !isStopping,
+        isReady: () => configuration.isReady() && servers.hasSynced() && !isStopping,
         getVersion: () => configuration.version,
         start() {
             configuration.start(stopping.signal);
--- a/src/entry/direct/placement.ts
+++ b/src/entry/direct/placement.ts
@@ -30,6 +30,8 @@
 }
 
 const readTokensPerMs = 80;
+/** Reading a part anew also displaces others from the cache and delays what comes after. */
+const readWeight = 2;
 /** Share of a part's tokens that is read where other entries are expected to have sent the part before. */
 const affinityReadShare = 0.25;
 /** Time that one more running request costs a new one at an engine, and one that waits. */
@@ -106,7 +108,8 @@
         if (!dispatch.hasStarted) aheadTokens += dispatch.readTokens;
     }
     const waiting = Math.max(0, busy - slots) + (load?.load.waiting ?? 0);
-    return coldness * ((readTokens + aheadTokens) / readTokensPerMs + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
+    return coldness *
+        ((readTokens * readWeight + aheadTokens) / readTokensPerMs + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
 }
 
 function countSince(facts: ServerFacts, sinceMs: number): number {
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -11,10 +11,13 @@
     listPool(pool: string): readonly BackendServerRecord[];
     /** Every server that is not gone, whatever its state. */
     listAll(): readonly BackendServerRecord[];
+    /** True once a control VM that is in touch with its group has told what it knows. */
+    hasSynced(): boolean;
     start(signal: AbortSignal): void;
 }
 
 const watchTimeoutMs = 1_000;
+const firstTimeoutMs = 50;
 const retryMs = 50;
 
 /** Creates a view that knows no servers yet. `onChange` is called with each change. */
@@ -33,12 +36,15 @@
     return {
         listPool: pool => byPool.get(pool) ?? [],
         listAll: () => all,
+        hasSynced: () => incarnation !== "",
         start: signal =>
             void repeat(host.timers, 0, signal, watchOnce, error => log.warn("A watch failed.", { detail: getErrorText(error) })),
     };
 
     async function watchOnce(): Promise<void> {
-        const reply = await control.watchDirectory({ incarnation, revision, timeoutMs: watchTimeoutMs });
+        // The first answer is wanted at once, whatever it holds.
+        const timeoutMs = incarnation === "" ? firstTimeoutMs : watchTimeoutMs;
+        const reply = await control.watchDirectory({ incarnation, revision, timeoutMs });
         if (reply === undefined) return sleep(host.timers, retryMs);
         incarnation = reply.incarnation;
         revision = reply.revision;
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -51,7 +51,8 @@
 export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, probeEveryMs: 1_000 };
 
 const pauseBetweenRoundsMs = 50;
-const watchGraceMs = 1_000;
+/** Time beyond that of a long poll after which its way counts as failed. */
+const maxWatchGraceMs = 1_000;
 
 /** Creates a client. The addresses are those of all control VMs, or of some through which the others are learnt. */
 export function createControlClient(
@@ -77,9 +78,16 @@
             return call(client => client.query.query({ kind, input }) as never, options.timeoutMs);
         },
         heartbeat: (heartbeat, timeoutMs) => call(client => client.heartbeat.mutate(heartbeat) as never, timeoutMs),
-        watch: request => callAny(client => client.watch.query(request) as Promise<WatchReply>, request.timeoutMs + watchGraceMs),
+        watch: request =>
+            callAny(
+                client => client.watch.query(request) as Promise<WatchReply>,
+                request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
+            ),
         watchDirectory: request =>
-            callAny(client => client.watchDirectory.query(request) as Promise<DirectoryReply>, request.timeoutMs + watchGraceMs),
+            callAny(
+                client => client.watchDirectory.query(request) as Promise<DirectoryReply>,
+                request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
+            ),
         getCallCounts: () => callCounts,
     };
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -195,6 +195,7 @@
         self,
         dataFolder,
         timing: settings.timing,
+        snapshotEveryEntries: memberSnapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: directLeaseRules }),
         group: { seeds, targetVoters: settings.targetVoters },
     });
@@ -218,6 +219,8 @@
     };
 }
 
+/** A restart applies no more than these anew, which bounds the time until the group serves again. */
+const memberSnapshotEveryEntries = 250;
 const followMembersMs = 500;
 /** Entries that dispatch themselves hold a small part of what is free, because it is lost with them. */
 const directLeaseRules = {
