--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -233,6 +233,12 @@
         return grant(renewed, renewal, rules, settled.isRecalled, nowMs);
     }
 
+    function createGrant(lease: Lease, outcome: LeaseOutcome, recallTokens: number, controlTimeMs: number): LeaseGrant {
+        const { leaseId, grantedTokens, expiresAtMs } = lease;
+        const { freeTokens } = createView(getAccount(lease.budget));
+        return { leaseId, outcome, controlTimeMs, grantedTokens, expiresAtMs, recallTokens, freeTokens };
+    }
+
     // A lease id is used once. A delayed renewal of a closed lease must not open it again.
     function tryOpen(renewer: Renewer, renewal: LeaseRenewal, rules: LeaseRules | undefined, nowMs: number): Lease | undefined {
         const sequence = Number(renewal.leaseId.slice(renewer.incarnation.length + 1));
@@ -328,11 +334,6 @@
     return `${incarnation}/${sequence}`;
 }
 
-function createGrant(lease: Lease, outcome: LeaseOutcome, recallTokens: number, controlTimeMs: number): LeaseGrant {
-    const { leaseId, grantedTokens, expiresAtMs } = lease;
-    return { leaseId, outcome, controlTimeMs, grantedTokens, expiresAtMs, recallTokens };
-}
-
 function createRefusal(leaseId: string, outcome: LeaseOutcome, controlTimeMs: number): LeaseGrant {
-    return { leaseId, outcome, controlTimeMs, grantedTokens: 0, expiresAtMs: 0, recallTokens: 0 };
+    return { leaseId, outcome, controlTimeMs, grantedTokens: 0, expiresAtMs: 0, recallTokens: 0, freeTokens: 0 };
 }
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -80,6 +80,8 @@
     readonly settleDelayMs: { readonly quiet: number; readonly steady: number; };
     readonly renewTimeoutMs: number;
     readonly demand: DemandRules;
+    /** Share of a budget's free tokens that one entry may hold ahead. It bounds what a death strands as a budget runs low. */
+    readonly maxHoldShare: number;
 }
 
 /** Pacing for a large fleet, whose control must not be called often. */
@@ -89,6 +91,7 @@
     settleDelayMs: { quiet: 1_000, steady: 10_000 },
     renewTimeoutMs: 1_500,
     demand: defaultDemandRules,
+    maxHoldShare: 1,
 };
 
 interface HeldLease {
@@ -107,6 +110,8 @@
     readonly unsettledSinceMs: Map<number, number>;
     /** Tokens that waiting requests need, by waiter. */
     readonly waiting: Map<number, number>;
+    /** Free tokens of the budget by control's last word. */
+    freeTokens: number;
     /** Control's last word on a starving request. */
     lastOutcome: LeaseGrant["outcome"] | "unreachable";
     isUnknown: boolean;
@@ -191,6 +196,11 @@
         return lease.grantedTokens - lease.settledTokens - lease.releasedTokens - lease.reservedTokens;
     }
 
+    function getTarget(lease: HeldLease, nowMs: number): number {
+        const wantedTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        return Math.floor(Math.min(wantedTokens, lease.freeTokens * pacing.maxHoldShare));
+    }
+
     function isUsable(lease: HeldLease): boolean {
         return control.time.isBefore(lease.expiresAtMs);
     }
@@ -213,6 +223,7 @@
             expiresAtMs: 0,
             unsettledSinceMs: new Map(),
             waiting: new Map(),
+            freeTokens: Infinity,
             lastOutcome: "unreachable",
             isUnknown: false,
             lastUsedMs: host.clock.nowMs(),
@@ -338,7 +349,8 @@
     }
 
     function isLow(lease: HeldLease, nowMs: number): boolean {
-        return !retired.has(lease) && getAvailable(lease) < lease.demand.getUrgentTokens(nowMs);
+        const urgentTokens = Math.min(lease.demand.getUrgentTokens(nowMs), getTarget(lease, nowMs));
+        return !retired.has(lease) && getAvailable(lease) < urgentTokens;
     }
 
     function shouldClose(lease: HeldLease, nowMs: number): boolean {
@@ -372,7 +384,7 @@
 
     function giveBackExcess(lease: HeldLease, nowMs: number): void {
         if (lease.waiting.size > 0) return;
-        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        const targetTokens = getTarget(lease, nowMs);
         const excessTokens = getAvailable(lease) - keepFactor * targetTokens;
         release(lease, Math.floor(excessTokens));
     }
@@ -382,7 +394,7 @@
         const isClosing = shouldClose(lease, nowMs);
         lease.changedAtMs = undefined;
         const neededTokens = lease.waiting.size > 0 ? Math.min(...lease.waiting.values()) : 0;
-        const targetTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
+        const targetTokens = getTarget(lease, nowMs);
         if (isClosing && leases.get(lease.budget) === lease) {
             // No reservation may be taken from a lease whose close is on its way.
             leases.delete(lease.budget);
@@ -417,6 +429,7 @@
                 saidAtMs: host.clock.nowMs(),
             };
             lease.grantedTokens = Math.max(lease.grantedTokens, grant.grantedTokens);
+            lease.freeTokens = grant.freeTokens;
             lease.expiresAtMs = Math.max(lease.expiresAtMs, grant.expiresAtMs);
             lease.renewedAtMs = host.clock.nowMs();
             lease.renewAtMs = lease.renewedAtMs + (grant.expiresAtMs - grant.controlTimeMs) * renewShare;
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -49,7 +49,7 @@
 
 /** How long a request may wait for tokens that other entries hold. */
 const budgetWaitMs = 700;
-const budgetHorizonMs = 700;
+const budgetHorizonMs = 1_500;
 const readyGoneMs = 2_500;
 const stopPollMs = 50;
 const closeLeasesMs = 800;
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -64,6 +64,8 @@
     readonly expiresAtMs: number;
     /** Unreserved tokens that control wants back with the next renewal. */
     readonly recallTokens: number;
+    /** Tokens of the budget that no lease holds, after this renewal. */
+    readonly freeTokens: number;
 }
 
 /** One finished request with an idempotency key, under a lease. */
