--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -35,15 +35,21 @@
     readonly mayHaveRun: boolean;
     /** True when a backend server began to answer. */
     readonly hasAnswered: boolean;
+    /** When a backend server began to answer. */
+    readonly answeredAtMs?: number;
     readonly deliveredEvents: number;
     readonly attempts: number;
+    /** The last choice, for the log. */
+    readonly backendServer?: string;
+    readonly expectedStartMs?: number;
 }
 
 interface Progress {
     readonly tried: Set<string>;
     /** Attempts that may have run, which count against the route's bound. */
     runs: number;
-    hasAnswered: boolean;
+    answeredAtMs: number | undefined;
+    placement: Placement | undefined;
     dispatches: number;
     deliveredEvents: number;
     lastEventId: string | undefined;
@@ -63,7 +69,8 @@
     const progress: Progress = {
         tried: new Set(),
         runs: 0,
-        hasAnswered: false,
+        answeredAtMs: undefined,
+        placement: undefined,
         dispatches: 0,
         deliveredEvents: 0,
         lastEventId: undefined,
@@ -105,6 +112,7 @@
         const nowMs = host.clock.nowMs();
         progress.tried.add(server.backendServer);
         progress.dispatches++;
+        progress.placement = placement;
         const dispatch = options.loads.begin(server.backendServer, placement.readTokens, call.head.promptParts, nowMs);
         const outcome = await runAttempt(host, call, {
             protocol: options.protocol,
@@ -115,7 +123,7 @@
             onLoad: load => options.loads.noteLoad(server.backendServer, load, host.clock.nowMs()),
             onStarted: () => {
                 dispatch.hasStarted = true;
-                progress.hasAnswered = true;
+                progress.answeredAtMs ??= host.clock.nowMs();
             },
         });
         const end = outcome.kind === "failed" ? outcome.end : outcome.kind === "answer" && outcome.answer.status >= 500 ? "failed" : "good";
@@ -172,8 +180,17 @@
     }
 
     function createDelivery(verdict: Verdict | undefined): Delivery {
-        const { runs, hasAnswered, deliveredEvents, dispatches } = progress;
-        return { verdict, mayHaveRun: runs > 0, hasAnswered, deliveredEvents, attempts: dispatches };
+        const { runs, answeredAtMs, deliveredEvents, dispatches, placement } = progress;
+        return {
+            verdict,
+            mayHaveRun: runs > 0,
+            hasAnswered: answeredAtMs !== undefined,
+            answeredAtMs,
+            deliveredEvents,
+            attempts: dispatches,
+            backendServer: placement?.server.backendServer,
+            expectedStartMs: placement === undefined ? undefined : Math.round(placement.expectedStartMs),
+        };
     }
 
     function createSink(): StreamSink {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -175,6 +175,7 @@
 
     async function serve(call: DirectCall, response: HttpResponse): Promise<void> {
         const reservation = await reserve(call);
+        const reservedAtMs = host.clock.nowMs();
         let delivery: Delivery | undefined;
         try {
             delivery = await deliver(host, call, response, {
@@ -192,13 +193,13 @@
             const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : getBilledTokens(call, delivery);
             reservation?.settle(directAgent, Math.min(billedTokens, reservation.reservedTokens));
         }
-        logEnd(call, delivery);
+        logEnd(call, delivery, reservedAtMs);
         if (delivery.verdict !== undefined && !response.hasStarted) {
             writeRefusal(call.request, response, delivery.verdict, call.head.requestId, call.arrivedAtMs);
         }
     }
 
-    function logEnd(call: DirectCall, delivery: Delivery): void {
+    function logEnd(call: DirectCall, delivery: Delivery, reservedAtMs: number): void {
         const { generation } = call.head;
         log.info("A request ended.", {
             requestId: call.head.requestId,
@@ -210,6 +211,10 @@
             billedTokens: getBilledTokens(call, delivery),
             reservedTokens: generation === undefined ? 0 : generation.promptTokens + generation.maxCompletionTokens,
             version: configuration.version,
+            backendServer: delivery.backendServer,
+            expectedStartMs: delivery.expectedStartMs,
+            reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
+            answeredAfterMs: delivery.answeredAtMs === undefined ? undefined : Math.round(delivery.answeredAtMs - call.arrivedAtMs),
             tookMs: Math.round(host.clock.nowMs() - call.arrivedAtMs),
         });
     }
