Test direct dispatch, the operator's sets and the bounded log on fake hosts

The tests play stand-ins of the platform's backend servers, callers and operator: seals, attempt ids, refusals, lost and foreign answers, cut and resumed streams, leaves at an isolated control VM, budgets over a death of an entry, ways through a relay.

--- a/src/kernel/log.ts
+++ b/src/kernel/log.ts
@@ -8,16 +8,61 @@
     readonly isJson: boolean;
     /** Names the process in JSON lines. */
     readonly vm: string;
+    /** Where lines go. Standard error where it is absent. */
+    readonly write?: (line: string) => void;
+}
+
+/** What a bounded writer writes to. */
+export interface LogStream {
+    write(text: string): boolean;
+    /** Bytes that the other side has not taken yet. */
+    readonly writableLength: number;
+}
+
+/** Lines that a process writes in any second, beyond which they are counted instead. */
+export const maxLogLinesPerSecond = 400;
+const maxPendingLogBytes = 1024 * 1024;
+const secondMs = 1_000;
+
+/**
+ * Creates a writer that neither blocks nor floods: lines beyond the limit of a second, or while too much is pending, are left
+ * out, and the next line that is written is followed by their number.
+ */
+export function createBoundedWriter(
+    stream: LogStream,
+    nowMs: () => number,
+    maxLinesPerSecond = maxLogLinesPerSecond,
+): (line: string) => void {
+    let secondStartedAtMs = -Infinity;
+    let lines = 0;
+    let leftOut = 0;
+    return line => {
+        const now = nowMs();
+        if (now - secondStartedAtMs >= secondMs) {
+            secondStartedAtMs = now;
+            lines = 0;
+        }
+        if (lines >= maxLinesPerSecond || stream.writableLength > maxPendingLogBytes) {
+            leftOut++;
+            return;
+        }
+        lines++;
+        stream.write(`${line}\n`);
+        if (leftOut === 0) return;
+        stream.write(`${JSON.stringify({ part: "log", level: "warn", message: "Lines were left out.", count: leftOut })}\n`);
+        leftOut = 0;
+    };
 }
 
 /** Levels that a flag may name. */
 export const logLevels: readonly LogLevel[] = ["debug", "info", "warn", "error"];
 
-/** Creates a factory of loggers. Lines go to standard error. */
+/** Creates a factory of loggers. */
 export function createLoggerFactory(options: LogOptions): (prefix: string) => Logger {
+    const write = options.write ?? (line => void process.stderr.write(`${line}\n`));
     return prefix => {
         const logger = loglevel.getLogger(`${options.vm}/${prefix}`);
-        logger.methodFactory = () => line => void process.stderr.write(`${String(line)}\n`);
+        logger.methodFactory = () => line => write(String(line));
         logger.setLevel(options.level, false);
         const createMethod = (level: LogLevel) => (sentence: string, fields?: LogFields) => {
             logger[level](
--- /dev/null
+++ b/test/direct.test.ts
@@ -0,0 +1,212 @@
+/** Direct dispatch end to end on fake hosts: what callers and backend servers see. */
+import { test } from "tap";
+import { answerWhole, createDirectFleet, createSeal, createState } from "./directFleet.js";
+
+test("each kind of request is answered whole", async t => {
+    const fleet = await createDirectFleet(11);
+    for (const kind of ["safe", "once", "stream", "resume"]) {
+        const result = await fleet.world.runUntil(fleet.call(0, { path: `/${kind}/1`, id: `id-${kind}`, tokens: "100,20" }));
+        t.match(result, { status: 200, isWhole: true, headers: { "x-attempt-id": `id-${kind}`, "x-worker-seal": "seal" } });
+    }
+});
+
+test("key goes no further and the account goes along", async t => {
+    const fleet = await createDirectFleet(12, { servers: 1 });
+    await fleet.world.runUntil(fleet.call(0, { path: "/safe/1", id: "a", headers: { "x-tenant": "other", "x-pin-ms": "9" } }));
+    const seen = fleet.servers[0]!.seen[0]!;
+    t.equal(seen.headers["x-tenant"], "acme");
+    t.equal(seen.headers["authorization"], undefined);
+    t.equal(seen.headers["x-pin-ms"], undefined);
+    t.equal(seen.headers["x-expect-worker"], "server-1");
+});
+
+test("wrong keys, paths and heads are refused", async t => {
+    const fleet = await createDirectFleet(13);
+    const { world } = fleet;
+    t.equal((await world.runUntil(fleet.call(0, { path: "/safe/1", id: "a", key: "wrong" }))).status, 401);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/open/1", id: "b", key: "wrong" }))).status, 200);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/nowhere/1", id: "c" }))).status, 404);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/safe/1", id: "" }))).status, 400);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/safe/1", id: "d", tokens: "many" }))).status, 400);
+});
+
+test("lost answer of a request that runs once is not repeated", async t => {
+    const fleet = await createDirectFleet(14);
+    for (const server of fleet.servers) {
+        server.behaviour = async (request, response) => {
+            server.runs.push(request.headers["x-attempt-id"]!);
+            response.abort();
+        };
+    }
+    const result = await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: "a" }));
+    t.equal(result.status, 502);
+    t.equal(fleet.servers.flatMap(server => server.runs).length, 1);
+});
+
+test("lost answer of an idempotent request is repeated elsewhere", async t => {
+    const fleet = await createDirectFleet(15);
+    let isFirst = true;
+    for (const server of fleet.servers) {
+        server.behaviour = async (request, response) => {
+            if (!isFirst) return answerWhole(request, response, server);
+            isFirst = false;
+            response.abort();
+        };
+    }
+    t.match(await fleet.world.runUntil(fleet.call(0, { path: "/safe/1", id: "a" })), { status: 200, isWhole: true });
+});
+
+test("refusal of a backend server is taken elsewhere", async t => {
+    const fleet = await createDirectFleet(16);
+    fleet.servers[0]!.behaviour = async (_request, response) => {
+        response.start(503, { "x-not-executed": "1" });
+        response.end();
+    };
+    for (let count = 0; count < 4; count++) {
+        t.equal((await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: `a${count}` }))).status, 200);
+    }
+});
+
+test("refused everywhere is not run, with a time to come back", async t => {
+    const fleet = await createDirectFleet(17);
+    for (const server of fleet.servers) {
+        server.behaviour = async (_request, response) => {
+            response.start(503, { "x-not-executed": "1" });
+            response.end();
+        };
+    }
+    const result = await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: "a" }));
+    t.equal(result.status, 503);
+    t.ok(Number(result.headers["retry-after"]) > 0);
+});
+
+test("answer of another request is not passed on", async t => {
+    const fleet = await createDirectFleet(18);
+    for (const server of fleet.servers) {
+        server.behaviour = async (_request, response) => {
+            response.start(200, { "x-attempt-id": "other", "x-worker-seal": "seal" });
+            await response.write(Buffer.from("of another"));
+            response.end();
+        };
+    }
+    const result = await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: "a" }));
+    t.equal(result.status, 502);
+    t.notMatch(result.text, "of another");
+});
+
+test("success without a seal is not passed on", async t => {
+    const fleet = await createDirectFleet(19);
+    for (const server of fleet.servers) {
+        server.behaviour = async (request, response) => {
+            response.start(200, { "x-attempt-id": request.headers["x-attempt-id"]! });
+            response.end();
+        };
+    }
+    t.equal((await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: "a" }))).status, 502);
+});
+
+test("broken stream goes on elsewhere where it can be resumed", async t => {
+    const fleet = await createDirectFleet(20);
+    let isFirst = true;
+    for (const server of fleet.servers) {
+        server.behaviour = async (request, response) => {
+            if (!isFirst) return answerWhole(request, response, server);
+            isFirst = false;
+            response.start(200, createSeal(request));
+            await response.write(Buffer.from("id: 1\ndata: piece 1\n\nid: 2\nda"));
+            response.abort();
+        };
+    }
+    const result = await fleet.world.runUntil(fleet.call(0, { path: "/resume/1", id: "a", tokens: "10,10" }));
+    t.equal(result.text, [1, 2, 3].map(id => `id: ${id}\ndata: piece ${id}\n\n`).join(""));
+    t.ok(result.isWhole);
+});
+
+test("broken stream that cannot be resumed ends visibly", async t => {
+    const fleet = await createDirectFleet(21);
+    for (const server of fleet.servers) {
+        server.behaviour = async (request, response) => {
+            response.start(200, createSeal(request));
+            await response.write(Buffer.from("id: 1\ndata: piece 1\n\nid: 2\nda"));
+            response.abort();
+        };
+    }
+    const result = await fleet.world.runUntil(fleet.call(0, { path: "/stream/1", id: "a", tokens: "10,10" }));
+    t.equal(result.text, "id: 1\ndata: piece 1\n\n");
+    t.notOk(result.isWhole);
+});
+
+test("deadline is answered at once", async t => {
+    const fleet = await createDirectFleet(22);
+    for (const server of fleet.servers) server.behaviour = () => new Promise(() => undefined);
+    const startedAtMs = fleet.world.nowMs();
+    t.equal((await fleet.world.runUntil(fleet.call(0, { path: "/once/1", id: "a", deadlineMs: 500 }))).status, 504);
+    t.ok(fleet.world.nowMs() - startedAtMs < 600);
+});
+
+test("draining backend server gets no more work", async t => {
+    const fleet = await createDirectFleet(23);
+    const leaving = fleet.servers[0]!;
+    leaving.state = "draining";
+    t.equal(await fleet.world.runUntil(fleet.heartbeat(leaving, 1)), 200);
+    await fleet.world.advance(100);
+    for (let count = 0; count < 6; count++) await fleet.world.runUntil(fleet.call(0, { path: "/safe/1", id: `a${count}` }));
+    t.equal(leaving.runs.length, 0);
+});
+
+test("isolated control VM does not acknowledge a leave", async t => {
+    const fleet = await createDirectFleet(24);
+    fleet.world.setPartition((from, to) => from === "10.0.0.1" && to.startsWith("10.0.0."));
+    await fleet.world.advance(2_000);
+    const leaving = fleet.servers[0]!;
+    leaving.state = "draining";
+    t.equal(await fleet.world.runUntil(fleet.heartbeat(leaving, 0)), 503);
+    t.equal(await fleet.world.runUntil(fleet.heartbeat(leaving, 1)), 200);
+});
+
+test("budget holds over entries and deaths", async t => {
+    const fleet = await createDirectFleet(25, {
+        entries: 2,
+        state: createState(1, { tenants: [{ name: "acme", api_keys: ["key-1"], reserved: 2_000 }] }),
+    });
+    const { world } = fleet;
+    const statuses: (number | undefined)[] = [];
+    for (let count = 0; count < 40; count++) {
+        const result = await world.runUntil(fleet.call(count % 2, { path: "/stream/1", id: `a${count}`, tokens: "100,6" }));
+        statuses.push(result.status);
+        if (count !== 10) continue;
+        fleet.entries[0]!.vm.crash();
+        fleet.entries[0]!.vm.restart();
+        await fleet.startEntry(0);
+        await world.advance(500);
+    }
+    const served = statuses.filter(status => status === 200).length;
+    t.ok(served * 106 <= 2_000, "no more than what was paid for");
+    t.ok(served >= 16, `most of the budget was used: ${served}`);
+    t.equal(statuses.at(-1), 402);
+});
+
+test("raised budget is used at once, lowered one stops new runs", async t => {
+    const tenants = (reserved: number) => ({ tenants: [{ name: "acme", api_keys: ["key-1"], reserved }] });
+    const fleet = await createDirectFleet(26, { state: createState(1, tenants(150)) });
+    const { world } = fleet;
+    const call = (id: string) => world.runUntil(fleet.call(0, { path: "/stream/1", id, tokens: "100,6" }));
+    t.equal((await call("a")).status, 200);
+    t.equal((await call("b")).status, 402);
+    t.equal(await world.runUntil(fleet.replace(0, createState(2, tenants(1_000)))), 200);
+    await world.advance(600);
+    t.equal((await call("c")).status, 200);
+    t.equal(await world.runUntil(fleet.replace(0, createState(3, tenants(100)))), 200);
+    await world.advance(2_000);
+    t.notSame((await call("d")).status, 200);
+});
+
+test("entry that is cut off from control goes through a relay", async t => {
+    const fleet = await createDirectFleet(27, { servers: 2 });
+    const { world } = fleet;
+    world.setPartition((from, to) => from === "10.0.1.1" && to.startsWith("10.0.0."));
+    await world.advance(3_000);
+    t.equal(await world.runUntil(fleet.replace(0, createState(2, { routes: [] }))), 200);
+    await world.advance(1_500);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/safe/1", id: "a" }))).status, 404);
+});
--- /dev/null
+++ b/test/operatorApi.test.ts
@@ -0,0 +1,48 @@
+/** The operator's sets: the highest number wins, and what cannot be used changes nothing. */
+import { test } from "tap";
+import { decodeHeartbeat } from "../platform/heartbeats.js";
+import { createDirectFleet, createState } from "./directFleet.js";
+
+test("highest version wins in any order", async t => {
+    const fleet = await createDirectFleet(31);
+    const { world } = fleet;
+    t.equal(await world.runUntil(fleet.replace(0, createState(7))), 200);
+    t.equal(await world.runUntil(fleet.replace(1, createState(4))), 200);
+    t.equal(await world.runUntil(fleet.replace(2, createState(7))), 200);
+    const read = await world.runUntil(fleet.read(1));
+    t.equal((JSON.parse(read.text) as { version: number; }).version, 7);
+});
+
+test("another set under the version held is refused", async t => {
+    const fleet = await createDirectFleet(32);
+    const { world } = fleet;
+    const other = createState(1, { routes: [] });
+    t.equal(await world.runUntil(fleet.replace(0, other)), 409);
+    t.strictSame(JSON.parse((await world.runUntil(fleet.read(0))).text), createState(1));
+});
+
+test("invalid sets are refused and change nothing", async t => {
+    const fleet = await createDirectFleet(33);
+    const { world } = fleet;
+    const route = { name: "r", host: "h", path_prefix: "/r/", type: "idempotent", timeout_ms: 100, service: "models" };
+    const invalid: readonly object[] = [
+        createState(5, { routes: [{ ...route, service: "unknown" }] }),
+        createState(5, { routes: [route, { ...route, name: "twin" }] }),
+        createState(5, { routes: [{ ...route, service: undefined, split: [{ service: "models", weight: 0 }] }] }),
+        createState(5, { routes: [{ ...route, timeout_ms: 0 }] }),
+        createState(5, { tenants: [{ name: "a", api_keys: ["k"] }, { name: "b", api_keys: ["k"] }] }),
+        { version: 5, routes: "none" },
+    ];
+    for (const state of invalid) t.equal(await world.runUntil(fleet.replace(0, state)), 400);
+    t.strictSame(JSON.parse((await world.runUntil(fleet.read(2))).text), createState(1));
+});
+
+test("garbled heartbeats name no backend server", t => {
+    const good = { service: "s", address: "10.0.0.1:80", zone: "a", version: "v1", slots: 4, state: "ready", seq: 1, born: 5 };
+    t.ok(decodeHeartbeat("a", JSON.stringify(good)));
+    for (const bad of [{ ...good, seq: "1" }, { ...good, state: "odd" }, { ...good, address: "nowhere" }, { ...good, slots: undefined }]) {
+        t.equal(decodeHeartbeat("a", JSON.stringify(bad)), undefined);
+    }
+    t.equal(decodeHeartbeat("a", "{"), undefined);
+    t.end();
+});
