Never free what a dead direct entry had not settled

Cause: recovery by inquiry asks agents what was started under a dead entry's lease. Such leases are marked, and the policy for lost work decides: here it is written off.

Test: 'unsettled tokens of a dead entry count as spent' fails before, passes now.

--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -258,6 +258,7 @@
             settledByAgent: {},
             settledBeforeMs: 0,
             releasedTokens: 0,
+            isDirect: renewal.isDirect === true,
             createdAtMs: nowMs,
             renewedAtMs: nowMs,
             expiresAtMs: nowMs + rules.leaseMs,
--- a/src/control/plugins/budgets/plugin.ts
+++ b/src/control/plugins/budgets/plugin.ts
@@ -70,7 +70,7 @@
                     use.incarnation,
                     use.finishedTokens + options.billRecovered(use.keyed, context.nowMs),
                 ]));
-                const outcome = isUseLost ? getLostWork(lease.budget) : "close";
+                const outcome = isUseLost || lease.isDirect ? getLostWork(lease.budget) : "close";
                 closings[outcome](lease, spent);
                 options.audit(context, {
                     actor: "control",
--- a/src/control/plugins/budgets/types.ts
+++ b/src/control/plugins/budgets/types.ts
@@ -20,6 +20,8 @@
     /** Every attempt that started before this time is settled. */
     readonly settledBeforeMs: number;
     readonly releasedTokens: number;
+    /** True when no agent counts what is started under it. What its entry did not settle is lost with that entry. */
+    readonly isDirect: boolean;
     readonly createdAtMs: number;
     readonly renewedAtMs: number;
     readonly expiresAtMs: number;
--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -69,6 +69,8 @@
     readonly control: ControlClient;
     readonly preferences?: Readonly<Record<"overspend" | "falseRefusals", BudgetPreference>>;
     readonly pacing?: LeasePacing;
+    /** True when this entry dispatches without agents. */
+    readonly isDirect?: boolean;
 }
 
 /** How often an entry talks to control about its leases. */
@@ -409,6 +411,7 @@
             wantTokens: isClosing || isRetired ? 0 : Math.max(0, Math.ceil(targetTokens - getAvailable(lease))),
             starvingTokens: isClosing || isRetired ? 0 : Math.max(0, neededTokens - Math.max(0, getAvailable(lease))),
             isClosing,
+            isDirect: options.isDirect,
         };
     }
 
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -72,6 +72,7 @@
         incarnation: identity.incarnation,
         control,
         pacing: options.leasePacing,
+        isDirect: true,
         preferences: {
             overspend: { horizonMs: budgetHorizonMs, maxWaitMs: budgetWaitMs },
             falseRefusals: { horizonMs: budgetHorizonMs, maxWaitMs: budgetWaitMs },
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -46,6 +46,8 @@
     /** Tokens that one waiting request needs now, beyond what the lease holds. Zero when none waits. */
     starvingTokens: tokens,
     isClosing: z.boolean(),
+    /** True when the entry dispatches without agents, so that nobody else knows what it started. */
+    isDirect: z.boolean().optional(),
 }).readonly();
 /** One lease in a renewal. */
 export type LeaseRenewal = z.infer<typeof leaseRenewalSchema>;
