Take no request that could not end before a stop; keep the product's refusal code

From 2.4 s on, when new connections no longer come, idle ones are closed and requests get 503 not run.

Tests: 'stopping entry serves, then refuses what could not end in time' is new.

--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -279,7 +279,9 @@
         if (lease.isUnknown) refuse("budgetExhausted", "The budget is not in the configuration in force.");
         if (lease.lastOutcome === "exhausted") refuse("budgetExhausted", undefined, exhaustedRetryMs);
         if (lease.lastOutcome === "unreachable") refuse("budgetUnavailable", undefined, retryAfterMs);
-        refuse("budgetHeld", undefined, retryAfterMs);
+        // Only the callers of direct dispatch tell a refusal for now from one for good by its status.
+        if (options.isDirect) refuse("budgetHeld", undefined, retryAfterMs);
+        refuse("budgetExhausted", "The rest of the prepaid budget is held by running requests.", retryAfterMs);
     }
 
     function take(lease: HeldLease, tokens: number): Reservation {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -36,6 +36,8 @@
     readonly stopMs: number;
     readonly onServers: (servers: readonly BackendServerRecord[]) => void;
     readonly onMembers: (addresses: readonly string[]) => void;
+    /** Called when no more requests are taken, so that kept connections can be closed. */
+    readonly onRefusing: () => void;
 }
 
 /** A running gateway. */
@@ -50,11 +52,12 @@
 /** How long a request may wait for tokens that other entries hold. */
 const budgetWaitMs = 700;
 const budgetHorizonMs = 1_500;
-const readyGoneMs = 2_500;
+/** Time after which the platform no longer sends new connections to a process that is not ready. */
+const readyGoneMs = 2_400;
 const stopPollMs = 50;
 const closeLeasesMs = 800;
 const defaultTimeoutMs = 60_000;
-const retryAfterMs = { notReady: 500, budget: 1_000 } as const;
+const retryAfterMs = { notReady: 500, stopping: 20 } as const;
 
 /** Creates a gateway that is not ready yet. */
 export function createGateway(host: Host, options: GatewayOptions): Gateway {
@@ -90,6 +93,7 @@
     let limits: IngressLimitsObject | undefined;
     let prepaid: ReadonlyMap<string, number> = new Map();
     let isStopping = false;
+    let isRefusing = false;
     let running = 0;
 
     return {
@@ -105,10 +109,11 @@
             isStopping = true;
             const startedAtMs = host.clock.nowMs();
             log.info("The gateway stops.", { running });
-            while (running > 0 || host.clock.nowMs() - startedAtMs < readyGoneMs) {
-                if (host.clock.nowMs() - startedAtMs > options.stopMs) break;
-                await sleep(host.timers, stopPollMs);
-            }
+            await sleep(host.timers, readyGoneMs);
+            // What is taken later may not end before the process does.
+            isRefusing = true;
+            options.onRefusing();
+            while (running > 0 && host.clock.nowMs() - startedAtMs < options.stopMs) await sleep(host.timers, stopPollMs);
             const isClosed = await leases.close(closeLeasesMs);
             log.info("The gateway has stopped.", { running, isClosed });
             stopping.abort();
@@ -134,6 +139,7 @@
             const head = protocol.readCall(request);
             if ("problem" in head) refuse("badRequest", head.problem);
             requestId = head.requestId;
+            if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
             await serve(createCall(head, request, arrivedAtMs), response);
         }
         catch (error) {
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -80,6 +80,8 @@
     readonly address: Address;
     /** Reads the TLS files again. */
     reloadTls(): Promise<void>;
+    /** Closes kept connections that carry no request, and goes on listening. */
+    closeIdleConnections(): void;
     close(): Promise<void>;
 }
 
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -142,6 +142,7 @@
         async reloadTls() {
             if (options.tls !== undefined && server instanceof https.Server) server.setSecureContext(await readTls(options));
         },
+        closeIdleConnections: () => server.closeIdleConnections(),
         close() {
             return closeServer(server);
         },
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -228,6 +228,7 @@
                 return {
                     address: options.address,
                     reloadTls: () => Promise.resolve(),
+                    closeIdleConnections: () => undefined,
                     async close() {
                         services.delete(options.address);
                     },
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -264,6 +264,7 @@
         maxConnections: settings.maxConnections,
     });
     const fleetPort = fleetListen.slice(fleetListen.lastIndexOf(":"));
+    let callers: Listener | undefined = undefined;
     const gateway = createGateway(host, {
         identity: { vm, role: "entry", failureDomain, incarnation: host.random.nextId(), address: fleetListen },
         control,
@@ -275,12 +276,14 @@
         // A relay stands beside each model engine, at the fleet's port.
         onServers: servers => paths.learnRelays([...new Set(servers.map(server => server.address.replace(/:\d+$/, fleetPort)))]),
         onMembers: paths.learnMembers,
+        onRefusing: () => callers?.closeIdleConnections(),
     });
     const endpoints = createProcessHandler({ isReady: gateway.isReady, readMetrics: () => [], handler: refuseAll });
+    callers = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
         await host.network.serve({ address: fleetListen, handler: endpoints, maxBodyBytes }),
-        await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes }),
+        callers,
     ];
     gateway.start();
     return createRunning(gateway, listeners, control);
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -210,3 +210,16 @@
     await world.advance(1_500);
     t.equal((await world.runUntil(fleet.call(0, { path: "/safe/1", id: "a" }))).status, 404);
 });
+
+test("stopping entry serves, then refuses what could not end in time", async t => {
+    const fleet = await createDirectFleet(28);
+    const { world } = fleet;
+    const stopped = fleet.entries[0]!.process!.part.stop();
+    await world.advance(1_000);
+    const early = await world.runUntil(fleet.call(0, { path: "/once/1", id: "a" }));
+    t.match(early, { status: 200, headers: { connection: "close" } });
+    await world.advance(2_000);
+    t.equal((await world.runUntil(fleet.call(0, { path: "/once/1", id: "b" }))).status, 503);
+    t.notOk(fleet.servers.some(server => server.runs.includes("b")));
+    await world.runUntil(stopped);
+});
