Learn the load of others from answers that begin late

The excess over the expected start, as a mean that fades, and dispatches that are overdue now count against a backend server.

Ruled out: waiting for tokens (p90 16 ms).

Test: 'a server that others have loaded is left for a while'.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -113,7 +113,7 @@
         progress.tried.add(server.backendServer);
         progress.dispatches++;
         progress.placement = placement;
-        const dispatch = options.loads.begin(server.backendServer, placement.readTokens, call.head.promptParts, nowMs);
+        const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         const outcome = await runAttempt(host, call, {
             protocol: options.protocol,
             connections: options.connections,
@@ -122,7 +122,7 @@
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.noteLoad(server.backendServer, load, host.clock.nowMs()),
             onStarted: () => {
-                dispatch.hasStarted = true;
+                options.loads.noteStarted(server.backendServer, dispatch, host.clock.nowMs());
                 progress.answeredAtMs ??= host.clock.nowMs();
             },
         });
--- a/src/entry/direct/loadBook.ts
+++ b/src/entry/direct/loadBook.ts
@@ -6,6 +6,8 @@
     readonly startedAtMs: number;
     /** Prompt tokens that the backend server is expected to read for it. */
     readonly readTokens: number;
+    /** Time after which its answer was expected to begin. */
+    readonly expectedStartMs: number;
     hasStarted: boolean;
 }
 
@@ -20,6 +22,8 @@
     readonly reported: { readonly load: ServerLoad; readonly atMs: number; } | undefined;
     /** Until then it gets no work. */
     readonly ejectedUntilMs: number;
+    /** Time by which its answers began later than expected of late. It tells of load that other entries bring. */
+    getDelayMs(nowMs: number): number;
     /** True when the part is believed to be in its cache. */
     holdsPart(partId: string): boolean;
 }
@@ -27,13 +31,18 @@
 /** Facts of all backend servers. */
 export interface LoadBook {
     get(backendServer: string): ServerFacts;
-    begin(backendServer: string, readTokens: number, parts: readonly PromptPart[], nowMs: number): Dispatch;
+    begin(backendServer: string, expected: ExpectedStart, parts: readonly PromptPart[], nowMs: number): Dispatch;
+    /** The backend server has begun to answer. */
+    noteStarted(backendServer: string, dispatch: Dispatch, nowMs: number): void;
     end(backendServer: string, dispatch: Dispatch, how: DispatchEnd, nowMs: number): void;
     noteLoad(backendServer: string, load: ServerLoad, nowMs: number): void;
     /** Forgets the servers that are not listed. */
     keepOnly(backendServers: ReadonlySet<string>): void;
 }
 
+/** What a dispatch was expected to take. */
+export type ExpectedStart = Pick<Dispatch, "readTokens" | "expectedStartMs">;
+
 interface Entry {
     readonly backendServer: string;
     readonly dispatches: Set<Dispatch>;
@@ -42,9 +51,14 @@
     ejectedUntilMs: number;
     /** Ends in a row that speak against it. */
     badEnds: number;
+    /** Mean excess over the expected start, as it was at the time. */
+    delayMs: number;
+    delayAtMs: number;
 }
 
 const maxParts = 2_000;
+const delayHalfLifeMs = 1_500;
+const delayGain = 0.4;
 const firstEjectionMs = 400;
 const maxEjectionMs = 4_000;
 /** Ends in a row that count against a server before it is ejected, by how it ended. */
@@ -62,9 +76,9 @@
     const entries = new Map<string, Entry>();
     return {
         get: backendServer => toFacts(getEntry(backendServer)),
-        begin(backendServer, readTokens, parts, nowMs) {
+        begin(backendServer, { readTokens, expectedStartMs }, parts, nowMs) {
             const entry = getEntry(backendServer);
-            const dispatch: Dispatch = { startedAtMs: nowMs, readTokens, hasStarted: false };
+            const dispatch: Dispatch = { startedAtMs: nowMs, readTokens, expectedStartMs, hasStarted: false };
             entry.dispatches.add(dispatch);
             for (const part of parts) {
                 entry.parts.delete(part.partId);
@@ -73,6 +87,14 @@
             while (entry.parts.size > maxParts) entry.parts.delete(entry.parts.keys().next().value!);
             return dispatch;
         },
+        noteStarted(backendServer, dispatch, nowMs) {
+            if (dispatch.hasStarted) return;
+            dispatch.hasStarted = true;
+            const entry = getEntry(backendServer);
+            const before = getDecayedDelayMs(entry, nowMs);
+            entry.delayMs = before + delayGain * (getExcessMs(dispatch, nowMs) - before);
+            entry.delayAtMs = nowMs;
+        },
         end(backendServer, dispatch, how, nowMs) {
             const entry = getEntry(backendServer);
             entry.dispatches.delete(dispatch);
@@ -106,6 +128,8 @@
             reported: undefined,
             ejectedUntilMs: -Infinity,
             badEnds: 0,
+            delayMs: 0,
+            delayAtMs: 0,
         };
         entries.set(backendServer, created);
         return created;
@@ -118,6 +142,24 @@
         dispatches: entry.dispatches,
         reported: entry.reported,
         ejectedUntilMs: entry.ejectedUntilMs,
+        getDelayMs: nowMs => getDelayMs(entry, nowMs),
         holdsPart: partId => entry.parts.has(partId),
     };
 }
+
+// A dispatch that is overdue tells as much as one that began late.
+function getDelayMs(entry: Entry, nowMs: number): number {
+    let delayMs = getDecayedDelayMs(entry, nowMs);
+    for (const dispatch of entry.dispatches) {
+        if (!dispatch.hasStarted) delayMs = Math.max(delayMs, getExcessMs(dispatch, nowMs));
+    }
+    return delayMs;
+}
+
+function getDecayedDelayMs(entry: Entry, nowMs: number): number {
+    return entry.delayMs * 2 ** ((entry.delayAtMs - nowMs) / delayHalfLifeMs);
+}
+
+function getExcessMs(dispatch: Dispatch, nowMs: number): number {
+    return Math.max(0, nowMs - dispatch.startedAtMs - dispatch.expectedStartMs);
+}
--- a/src/entry/direct/placement.ts
+++ b/src/entry/direct/placement.ts
@@ -52,8 +52,10 @@
     for (const candidate of usable) {
         const readTokens = estimateReadTokens(request, candidate, candidate === home);
         const expectedStartMs = estimateStartMs(request, candidate, readTokens, nowMs);
+        const rereadMs = readTokens * (readWeight - 1) / readTokensPerMs;
         // Equal candidates are told apart at random, so that entries do not all choose the first.
-        const weighedMs = expectedStartMs + hashUnit(candidate.server.backendServer, unit) * 0.5;
+        const tieMs = hashUnit(candidate.server.backendServer, unit) * 0.5;
+        const weighedMs = expectedStartMs + rereadMs + candidate.facts.getDelayMs(nowMs) + tieMs;
         if (weighedMs >= bestMs) continue;
         bestMs = weighedMs;
         best = { server: candidate.server, readTokens, expectedStartMs };
@@ -108,8 +110,7 @@
         if (!dispatch.hasStarted) aheadTokens += dispatch.readTokens;
     }
     const waiting = Math.max(0, busy - slots) + (load?.load.waiting ?? 0);
-    return coldness *
-        ((readTokens * readWeight + aheadTokens) / readTokensPerMs + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
+    return coldness * ((readTokens + aheadTokens) / readTokensPerMs + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
 }
 
 function countSince(facts: ServerFacts, sinceMs: number): number {
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,63 @@
+/** Placement of direct dispatches: caches, load of others, and servers that fail. */
+import { test } from "tap";
+import { createLoadBook } from "../src/entry/direct/loadBook.js";
+import { place } from "../src/entry/direct/placement.js";
+import type { BackendServerRecord } from "../src/kernel/directory.js";
+
+const servers: readonly BackendServerRecord[] = ["s1", "s2", "s3"].map(name => ({
+    backendServer: name,
+    pool: "models",
+    address: `${name}:80`,
+    failureDomain: "a",
+    softwareVersion: "v1",
+    maxRunning: 32,
+    state: "ready",
+    coldLeftMs: 0,
+    bornMs: 0,
+    sequence: 1,
+    isSilent: false,
+}));
+
+const request = { promptTokens: 6_000, promptParts: [{ partId: "p1", tokens: 2_000 }, { partId: "p2", tokens: 3_000 }] };
+
+function createPlacer() {
+    const loads = createLoadBook();
+    return {
+        loads,
+        choose: (nowMs: number) => place(request, servers.map(server => ({ server, facts: loads.get(server.backendServer) })), nowMs, 0.5)!,
+    };
+}
+
+test("a prompt goes to where its parts are cached", t => {
+    const { loads, choose } = createPlacer();
+    const first = choose(0);
+    const dispatch = loads.begin(first.server.backendServer, first, request.promptParts, 0);
+    loads.noteStarted(first.server.backendServer, dispatch, 50);
+    loads.end(first.server.backendServer, dispatch, "good", 100);
+    const second = choose(200);
+    t.equal(second.server.backendServer, first.server.backendServer);
+    t.ok(second.readTokens < first.readTokens);
+    t.end();
+});
+
+test("a server that others have loaded is left for a while", t => {
+    const { loads, choose } = createPlacer();
+    const first = choose(0);
+    const name = first.server.backendServer;
+    const dispatch = loads.begin(name, first, request.promptParts, 0);
+    t.not(choose(900).server.backendServer, name, "its answer is overdue");
+    loads.noteStarted(name, dispatch, 1_000);
+    loads.end(name, dispatch, "good", 1_000);
+    t.not(choose(1_050).server.backendServer, name, "its answer began late");
+    t.equal(choose(12_000).server.backendServer, name, "that is long ago");
+    t.end();
+});
+
+test("unreachable server is passed over", t => {
+    const { loads, choose } = createPlacer();
+    const first = choose(0);
+    const name = first.server.backendServer;
+    loads.end(name, loads.begin(name, first, [], 0), "unreachable", 10);
+    t.not(choose(20).server.backendServer, name);
+    t.end();
+});
