--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -12,7 +12,7 @@
 import type { Placement } from "./placement.js";
 import type { RetryWindow } from "./retryWindow.js";
 import type { ServerView } from "./serverView.js";
-import { isRepeatable, isStream } from "./types.js";
+import { isRepeatable } from "./types.js";
 import type { DirectCall, DirectProtocol, Headers } from "./types.js";
 
 /** What a delivery works with. */
@@ -216,6 +216,3 @@
 }
 
 const maxEnginePriority = 9;
-
-/** True when the call's answer is a stream. Re-exported for the gateway's statistics. */
-export const isStreamCall = (call: DirectCall): boolean => isStream(call.route);
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -14,6 +14,8 @@
 import { createLeaseBook } from "../budgets/leaseBook.js";
 import type { LeasePacing, Reservation } from "../budgets/leaseBook.js";
 import { createNodeConfiguration } from "../configurationView.js";
+import { createEntryStatistics } from "../statistics.js";
+import type { EntryStatistics } from "../statistics.js";
 import { deliver } from "./delivery.js";
 import type { Delivery } from "./delivery.js";
 import { createLoadBook } from "./loadBook.js";
@@ -44,6 +46,7 @@
 export interface Gateway {
     readonly handle: HttpHandler;
     isReady(): boolean;
+    readonly statistics: EntryStatistics;
     getVersion(): number;
     start(): void;
     stop(): Promise<void>;
@@ -65,6 +68,7 @@
     const log = host.createLogger("gateway");
     const stopping = createStopController();
     const loads = createLoadBook();
+    const statistics = createEntryStatistics();
     const retries = createRetryWindow(options.retryRules);
     const servers = createServerView(host, control, all => {
         loads.keepOnly(new Set(all.map(server => server.backendServer)));
@@ -99,6 +103,7 @@
     return {
         handle,
         isReady: () => configuration.isReady() && servers.hasSynced() && !isStopping,
+        statistics,
         getVersion: () => configuration.version,
         start() {
             configuration.start(stopping.signal);
@@ -134,6 +139,7 @@
     async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
         const arrivedAtMs = host.clock.nowMs();
         running++;
+        statistics.noteRequest();
         let requestId: string | undefined;
         try {
             const head = protocol.readCall(request);
@@ -208,6 +214,10 @@
 
     function logEnd(call: DirectCall, delivery: Delivery, reservedAtMs: number): void {
         const { generation } = call.head;
+        const tookMs = host.clock.nowMs() - call.arrivedAtMs;
+        for (let attempt = 0; attempt < delivery.attempts; attempt++) statistics.noteDispatch();
+        for (let attempt = 1; attempt < delivery.attempts; attempt++) statistics.noteRetry();
+        if (delivery.verdict === undefined) statistics.noteAnswered("interactive", tookMs);
         log.info("A request ended.", {
             requestId: call.head.requestId,
             route: call.route.name,
@@ -222,7 +232,7 @@
             expectedStartMs: delivery.expectedStartMs,
             reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
             answeredAfterMs: delivery.answeredAtMs === undefined ? undefined : Math.round(delivery.answeredAtMs - call.arrivedAtMs),
-            tookMs: Math.round(host.clock.nowMs() - call.arrivedAtMs),
+            tookMs: Math.round(tookMs),
         });
     }
 
@@ -262,6 +272,7 @@
         arrivedAtMs: number,
     ): void {
         if (request.signal.aborted) return;
+        statistics.noteRefusal(verdict.code);
         log.info("A request was refused.", {
             requestId,
             path: request.path,
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -9,8 +9,6 @@
 export interface ServerView {
     /** Servers of a pool that take new work. */
     listPool(pool: string): readonly BackendServerRecord[];
-    /** Every server that is not gone, whatever its state. */
-    listAll(): readonly BackendServerRecord[];
     /** True once a control VM that is in touch with its group has told what it knows. */
     hasSynced(): boolean;
     start(signal: AbortSignal): void;
@@ -30,12 +28,10 @@
     const table = createDirectoryTable();
     let incarnation = "";
     let revision = 0;
-    let all: readonly BackendServerRecord[] = [];
     let byPool: ReadonlyMap<string, readonly BackendServerRecord[]> = new Map();
 
     return {
         listPool: pool => byPool.get(pool) ?? [],
-        listAll: () => all,
         hasSynced: () => incarnation !== "",
         start: signal =>
             void repeat(host.timers, 0, signal, watchOnce, error => log.warn("A watch failed.", { detail: getErrorText(error) })),
@@ -62,7 +58,7 @@
                 isSilent: server.isSilent,
             });
         }
-        all = table.listSince(0).filter(server => server.state !== "gone");
+        const all = table.listSince(0).filter(server => server.state !== "gone");
         const ready = new Map<string, BackendServerRecord[]>();
         for (const server of all) {
             if (server.state === "ready") ready.set(server.pool, [...ready.get(server.pool) ?? [], server]);
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -32,8 +32,6 @@
     readonly generation?: GenerationSize;
     /** Parts of the prompt in their order. */
     readonly promptParts: readonly PromptPart[];
-    /** Completion tokens that the caller expects. */
-    readonly lengthHintTokens?: number;
     /** Last event that the caller holds of a stream that it goes on with. */
     readonly lastEventId?: string;
     /** Headers that go along to the backend server as they came. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -278,7 +278,11 @@
         onMembers: paths.learnMembers,
         onRefusing: () => callers?.closeIdleConnections(),
     });
-    const endpoints = createProcessHandler({ isReady: gateway.isReady, readMetrics: () => [], handler: refuseAll });
+    const endpoints = createProcessHandler({
+        isReady: gateway.isReady,
+        readMetrics: () => readRequestMetrics(gateway),
+        handler: refuseAll,
+    });
     callers = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
@@ -379,12 +383,18 @@
 }
 
 function readEntryMetrics(entry: Entry): readonly MetricReading[] {
+    return [
+        ...readRequestMetrics(entry),
+        { name: "lovage_entry_owed", help: "settlements and claims that are not confirmed yet", value: entry.getOwedCount() },
+    ];
+}
+
+function readRequestMetrics(entry: Pick<Entry, "statistics" | "getVersion">): readonly MetricReading[] {
     const counts = entry.statistics.read();
     return [
         { name: "lovage_entry_requests", help: "requests so far", value: counts.requests },
         { name: "lovage_entry_dispatches", help: "dispatches so far", value: counts.dispatches },
         { name: "lovage_entry_retries", help: "retries so far", value: counts.retries },
-        { name: "lovage_entry_owed", help: "settlements and claims that are not confirmed yet", value: entry.getOwedCount() },
         { name: "lovage_entry_version", help: "version in force", value: entry.getVersion() },
         ...Object.entries(counts.refusals).map(([code, value]) => ({
             name: "lovage_entry_refusals",
