Place prompts by the last part that others share

Cause: the home of a prompt was hashed from its last part.

Ruled out: system prompts (cached everywhere within seconds), short prompts (a thirtieth of the tokens).

Change: the home is hashed from the last part but one. Test: prompts that share a document get one home; fails before. Answers of backend servers that are failures are logged, too.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -130,6 +130,9 @@
         options.loads.end(server.backendServer, dispatch, end, host.clock.nowMs());
         if (outcome.kind !== "failed" || outcome.verdict.kind !== "notRun") progress.runs++;
         if (outcome.kind === "failed") logFailure(placement, outcome.verdict);
+        if (outcome.kind === "answer" && end === "failed") {
+            logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`));
+        }
         return outcome;
     }
 
--- a/src/entry/direct/placement.ts
+++ b/src/entry/direct/placement.ts
@@ -1,7 +1,8 @@
 /**
  * Chooses the backend server of a dispatch by the time until the request is expected to start there: prompt tokens that the
- * server has yet to read, requests that wait, and how full it is. Entries agree without talking on where the parts of a
- * prompt are cached, by rendezvous hashing (Thaler and Ravishankar, 1998) of the prompt's last part.
+ * server has yet to read, requests that wait, and how full it is. Entries agree without talking on where the
+ * parts of a prompt are cached, by rendezvous hashing (Thaler and Ravishankar, 1998) of the last part that other
+ * prompts share. The part after that is the request's own.
  */
 import { crc32 } from "node:zlib";
 import type { BackendServerRecord } from "../../kernel/directory.js";
@@ -71,12 +72,12 @@
 }
 
 function findHome(request: PlacementRequest, candidates: readonly Candidate[]): Candidate | undefined {
-    const last = request.promptParts.at(-1);
-    if (last === undefined) return undefined;
+    const shared = request.promptParts.at(-2) ?? request.promptParts.at(-1);
+    if (shared === undefined) return undefined;
     let home: Candidate | undefined;
     let highest = -1;
     for (const candidate of candidates) {
-        const weight = crc32(`${last.partId} ${candidate.server.backendServer}`);
+        const weight = crc32(`${shared.partId} ${candidate.server.backendServer}`);
         if (weight <= highest) continue;
         highest = weight;
         home = candidate;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -61,3 +61,17 @@
     t.not(choose(20).server.backendServer, name);
     t.end();
 });
+
+test("entries agree on the home of prompts that share a document", t => {
+    const homes = new Set<string>();
+    for (const own of ["q1", "q2", "q3", "q4", "q5", "q6", "q7", "q8"]) {
+        const prompt = {
+            promptTokens: 6_000,
+            promptParts: [{ partId: "system", tokens: 500 }, { partId: "document", tokens: 4_000 }, { partId: own, tokens: 1_500 }],
+        };
+        const { loads } = createPlacer();
+        homes.add(place(prompt, servers.map(server => ({ server, facts: loads.get(server.backendServer) })), 0, 0.5)!.server.backendServer);
+    }
+    t.equal(homes.size, 1);
+    t.end();
+});
