Entries tell each other of their dispatches; learn reading rates; hedge calls to control

Change: entries find each other through control (soft state, at most twelve are told) and push what they have sent, large prompts at once, all else each 200 ms; placement reads parts and queues from that. A line fitted per server gives rate and base. A call to control also goes through a relay after 60 ms of silence.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -11,6 +11,7 @@
 import { createSignal, createStopController, getErrorText, repeat, sleep, waitUntil, withTimeout } from "../kernel/tasks.js";
 import type { Signal } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
+import { createWatcherList } from "./watcherList.js";
 
 /** What the directory knows of the control group. */
 export interface DirectoryGroup {
@@ -62,6 +63,7 @@
     const spreadDone = createSignal(host.timers);
     const stopping = createStopController();
     const peers = new Map<Address, Peer>();
+    const watchers = createWatcherList();
 
     return {
         async announce(record) {
@@ -82,13 +84,21 @@
                 if (table.merge(record, host.clock.nowMs()) === "changed") hasChanged = true;
             }
             if (hasChanged) changed.notify();
+            watchers.noteElsewhere(message.watchers, host.clock.nowMs());
             return { incarnation };
         },
         async watch(request) {
+            if (request.watcher !== undefined) watchers.noteHere(request.watcher, host.clock.nowMs());
             const since = request.incarnation === incarnation ? request.revision : 0;
             await waitUntil(host, changed, () => table.revision > since, request.timeoutMs);
             const servers = table.listSince(since);
-            return { incarnation, revision: table.revision, servers, isConnected: group.isConnected() };
+            return {
+                incarnation,
+                revision: table.revision,
+                servers,
+                watchers: watchers.listFor(request.watcher ?? "", host.clock.nowMs()),
+                isConnected: group.isConnected(),
+            };
         },
         start: () =>
             void repeat(host.timers, tickMs, stopping.signal, tick, error => log.warn("A tick failed.", { detail: getErrorText(error) })),
@@ -151,7 +161,10 @@
         while (!stopping.signal.aborted && peers.get(peer.address) === peer) {
             const sent = [...peer.pending.values()];
             try {
-                const call = clients.get(peer.address).spread.mutate({ servers: sent });
+                const call = clients.get(peer.address).spread.mutate({
+                    servers: sent,
+                    watchers: [...watchers.listHere(host.clock.nowMs())],
+                });
                 const reply = await withTimeout(host.timers, call, spreadTimeoutMs, "spread");
                 confirm(peer, sent, reply.incarnation);
             }
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -8,6 +8,7 @@
 import { runAttempt } from "./attempt.js";
 import type { AttemptOutcome, StreamSink, WholeAnswer } from "./attempt.js";
 import type { LoadBook } from "./loadBook.js";
+import type { LoadExchange } from "./loadExchange.js";
 import { place } from "./placement.js";
 import type { Placement } from "./placement.js";
 import type { RetryWindow } from "./retryWindow.js";
@@ -21,6 +22,7 @@
     readonly connections: BackendConnections;
     readonly servers: ServerView;
     readonly loads: LoadBook;
+    readonly exchange: Pick<LoadExchange, "noteDispatch">;
     readonly retries: RetryWindow;
     readonly log: Logger;
     /** Headers that every answer gets besides its own. */
@@ -40,8 +42,7 @@
     readonly deliveredEvents: number;
     readonly attempts: number;
     /** The last choice, for the log. */
-    readonly backendServer?: string;
-    readonly expectedStartMs?: number;
+    readonly placement?: Placement;
 }
 
 interface Progress {
@@ -114,6 +115,7 @@
         progress.dispatches++;
         progress.placement = placement;
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
+        options.exchange.noteDispatch(server.backendServer, placement.readTokens, call.head.promptParts.map(part => part.partId));
         const outcome = await runAttempt(host, call, {
             protocol: options.protocol,
             connections: options.connections,
@@ -191,8 +193,7 @@
             answeredAtMs,
             deliveredEvents,
             attempts: dispatches,
-            backendServer: placement?.server.backendServer,
-            expectedStartMs: placement === undefined ? undefined : Math.round(placement.expectedStartMs),
+            placement,
         };
     }
 
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -2,6 +2,7 @@
  * The entry's way for requests whose backend servers have no agent: route, account, limits, budget, delivery, settlement.
  * An answer is always given at once when its outcome is known.
  */
+import { createGatewayRouter } from "../../kernel/contracts.js";
 import type { ControlClient } from "../../kernel/controlClient.js";
 import { messages } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
@@ -19,6 +20,7 @@
 import { deliver } from "./delivery.js";
 import type { Delivery } from "./delivery.js";
 import { createLoadBook } from "./loadBook.js";
+import { createLoadExchange } from "./loadExchange.js";
 import { createRetryWindow } from "./retryWindow.js";
 import type { RetryRules } from "./retryWindow.js";
 import { choosePool, createRouteTable } from "./routeTable.js";
@@ -45,6 +47,8 @@
 /** A running gateway. */
 export interface Gateway {
     readonly handle: HttpHandler;
+    /** What other entries call. */
+    readonly router: ReturnType<typeof createGatewayRouter>;
     isReady(): boolean;
     readonly statistics: EntryStatistics;
     getVersion(): number;
@@ -70,9 +74,15 @@
     const loads = createLoadBook();
     const statistics = createEntryStatistics();
     const retries = createRetryWindow(options.retryRules);
-    const servers = createServerView(host, control, all => {
-        loads.keepOnly(new Set(all.map(server => server.backendServer)));
-        options.onServers(all);
+    const exchange = createLoadExchange(host, { incarnation: identity.incarnation, loads });
+    const servers = createServerView(host, {
+        control,
+        watcher: identity.address,
+        onChange(all) {
+            loads.keepOnly(new Set(all.map(server => server.backendServer)));
+            options.onServers(all);
+        },
+        onWatchers: exchange.learnPeers,
     });
     const leases = createLeaseBook(host, {
         vm: identity.vm,
@@ -102,12 +112,14 @@
 
     return {
         handle,
+        router: createGatewayRouter({ shareLoad: exchange.take }),
         isReady: () => configuration.isReady() && servers.hasSynced() && !isStopping,
         statistics,
         getVersion: () => configuration.version,
         start() {
             configuration.start(stopping.signal);
             servers.start(stopping.signal);
+            exchange.start(stopping.signal);
             leases.start(stopping.signal);
         },
         async stop() {
@@ -196,6 +208,7 @@
                 connections: options.connections,
                 servers,
                 loads,
+                exchange,
                 retries,
                 log,
                 getAnswerHeaders,
@@ -228,10 +241,12 @@
             billedTokens: getBilledTokens(call, delivery),
             reservedTokens: generation === undefined ? 0 : generation.promptTokens + generation.maxCompletionTokens,
             version: configuration.version,
-            backendServer: delivery.backendServer,
-            expectedStartMs: delivery.expectedStartMs,
+            backendServer: delivery.placement?.server.backendServer,
+            readTokens: delivery.placement?.readTokens,
+            aheadTokens: toWhole(delivery.placement?.aheadTokens),
+            expectedStartMs: toWhole(delivery.placement?.expectedStartMs),
             reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
-            answeredAfterMs: delivery.answeredAtMs === undefined ? undefined : Math.round(delivery.answeredAtMs - call.arrivedAtMs),
+            answeredAfterMs: toWhole(delivery.answeredAtMs === undefined ? undefined : delivery.answeredAtMs - call.arrivedAtMs),
             tookMs: Math.round(tookMs),
         });
     }
@@ -299,6 +314,10 @@
 /** Stands for direct dispatch in the settled totals of a lease, which are kept by agent. */
 const directAgent = "direct";
 
+function toWhole(value: number | undefined): number | undefined {
+    return value === undefined ? undefined : Math.round(value);
+}
+
 function getStatus(verdict: Verdict): number {
     return messages[verdict.code].status;
 }
--- a/src/entry/direct/loadBook.ts
+++ b/src/entry/direct/loadBook.ts
@@ -1,4 +1,7 @@
-/** What one entry knows of each backend server's load, cache and health, from its own dispatches and their answers. */
+/** What one entry knows of each backend server's load, cache and health, from its dispatches, their answers and other entries. */
+import type { SharedServerLoad } from "../../kernel/contracts.js";
+import { createStartModel } from "./startModel.js";
+import type { StartModel } from "./startModel.js";
 import type { PromptPart, ServerLoad } from "./types.js";
 
 /** One dispatch that has not ended. */
@@ -6,6 +9,8 @@
     readonly startedAtMs: number;
     /** Prompt tokens that the backend server is expected to read for it. */
     readonly readTokens: number;
+    /** Prompt tokens that it was expected to read before that, for others. */
+    readonly aheadTokens: number;
     /** Time after which its answer was expected to begin. */
     readonly expectedStartMs: number;
     hasStarted: boolean;
@@ -20,8 +25,14 @@
     readonly dispatches: ReadonlySet<Dispatch>;
     /** Load by its last answer, and when that came. */
     readonly reported: { readonly load: ServerLoad; readonly atMs: number; } | undefined;
+    /** Dispatches of other entries that run there. Undefined when no other entry has told of late. */
+    countOthers(nowMs: number): number | undefined;
     /** Until then it gets no work. */
     readonly ejectedUntilMs: number;
+    /** How long its answers take to begin. */
+    readonly startModel: Pick<StartModel, "predictMs" | "getTokensPerMs">;
+    /** Prompt tokens of others that it has yet to read. */
+    getAheadTokens(nowMs: number): number;
     /** Time by which its answers began later than expected of late. It tells of load that other entries bring. */
     getDelayMs(nowMs: number): number;
     /** True when the part is believed to be in its cache. */
@@ -36,17 +47,29 @@
     noteStarted(backendServer: string, dispatch: Dispatch, nowMs: number): void;
     end(backendServer: string, dispatch: Dispatch, how: DispatchEnd, nowMs: number): void;
     noteLoad(backendServer: string, load: ServerLoad, nowMs: number): void;
+    /** Takes the dispatches of another entry in. They take the place of what it told before. */
+    notePeer(peer: string, servers: readonly SharedServerLoad[], nowMs: number): void;
+    /** This entry's dispatches, for other entries. */
+    listOwn(): readonly Omit<SharedServerLoad, "partIds">[];
     /** Forgets the servers that are not listed. */
     keepOnly(backendServers: ReadonlySet<string>): void;
 }
 
 /** What a dispatch was expected to take. */
-export type ExpectedStart = Pick<Dispatch, "readTokens" | "expectedStartMs">;
+export type ExpectedStart = Pick<Dispatch, "readTokens" | "aheadTokens" | "expectedStartMs">;
+
+interface Peer {
+    readonly servers: ReadonlyMap<string, SharedServerLoad>;
+    readonly heardAtMs: number;
+}
 
 interface Entry {
     readonly backendServer: string;
     readonly dispatches: Set<Dispatch>;
     readonly parts: Map<string, true>;
+    readonly startModel: StartModel;
+    /** When it last began to read a prompt, as far as this entry knows. */
+    readingSinceMs: number;
     reported: { readonly load: ServerLoad; readonly atMs: number; } | undefined;
     ejectedUntilMs: number;
     /** Ends in a row that speak against it. */
@@ -57,6 +80,8 @@
 }
 
 const maxParts = 2_000;
+/** An entry that is not heard for this long tells nothing of the present. */
+const peerStaleMs = 1_500;
 const delayHalfLifeMs = 1_500;
 const delayGain = 0.4;
 const firstEjectionMs = 400;
@@ -74,23 +99,24 @@
 /** Creates a book that knows nothing. */
 export function createLoadBook(): LoadBook {
     const entries = new Map<string, Entry>();
+    const peers = new Map<string, Peer>();
     return {
         get: backendServer => toFacts(getEntry(backendServer)),
-        begin(backendServer, { readTokens, expectedStartMs }, parts, nowMs) {
+        begin(backendServer, { readTokens, aheadTokens, expectedStartMs }, parts, nowMs) {
             const entry = getEntry(backendServer);
-            const dispatch: Dispatch = { startedAtMs: nowMs, readTokens, expectedStartMs, hasStarted: false };
+            const dispatch: Dispatch = { startedAtMs: nowMs, readTokens, aheadTokens, expectedStartMs, hasStarted: false };
+            if (countAllWaiting(entry, nowMs) === 0) entry.readingSinceMs = nowMs;
             entry.dispatches.add(dispatch);
-            for (const part of parts) {
-                entry.parts.delete(part.partId);
-                entry.parts.set(part.partId, true);
-            }
-            while (entry.parts.size > maxParts) entry.parts.delete(entry.parts.keys().next().value!);
+            noteParts(entry, parts.map(part => part.partId));
             return dispatch;
         },
         noteStarted(backendServer, dispatch, nowMs) {
             if (dispatch.hasStarted) return;
             dispatch.hasStarted = true;
             const entry = getEntry(backendServer);
+            entry.readingSinceMs = nowMs;
+            const tokens = dispatch.readTokens + dispatch.aheadTokens;
+            if (tokens > 0) entry.startModel.observe(tokens, nowMs - dispatch.startedAtMs, nowMs);
             const before = getDecayedDelayMs(entry, nowMs);
             entry.delayMs = before + delayGain * (getExcessMs(dispatch, nowMs) - before);
             entry.delayAtMs = nowMs;
@@ -111,6 +137,28 @@
         noteLoad(backendServer, load, nowMs) {
             getEntry(backendServer).reported = { load, atMs: nowMs };
         },
+        notePeer(peer, servers, nowMs) {
+            const before = peers.get(peer)?.servers;
+            for (const server of servers) {
+                const entry = getEntry(server.backendServer);
+                noteParts(entry, server.partIds);
+                const waitedBefore = before?.get(server.backendServer)?.waiting ?? 0;
+                // One of them has begun, or it has begun to read the first.
+                const isNextRead = server.waiting < waitedBefore || (server.waiting > waitedBefore && countAllWaiting(entry, nowMs) === 0);
+                if (isNextRead) entry.readingSinceMs = nowMs;
+            }
+            peers.set(peer, { servers: new Map(servers.map(server => [server.backendServer, server])), heardAtMs: nowMs });
+            for (const [name, { heardAtMs }] of peers) {
+                if (nowMs - heardAtMs > peerStaleMs) peers.delete(name);
+            }
+        },
+        listOwn: () =>
+            [...entries.values()].map(entry => ({
+                backendServer: entry.backendServer,
+                running: entry.dispatches.size,
+                waiting: countWaiting(entry),
+                waitingTokens: sumWaitingTokens(entry),
+            })),
         keepOnly(backendServers) {
             for (const name of entries.keys()) {
                 if (!backendServers.has(name)) entries.delete(name);
@@ -125,6 +173,8 @@
             backendServer,
             dispatches: new Set(),
             parts: new Map(),
+            startModel: createStartModel(),
+            readingSinceMs: -Infinity,
             reported: undefined,
             ejectedUntilMs: -Infinity,
             badEnds: 0,
@@ -134,17 +184,71 @@
         entries.set(backendServer, created);
         return created;
     }
+
+    function toFacts(entry: Entry): ServerFacts {
+        return {
+            backendServer: entry.backendServer,
+            dispatches: entry.dispatches,
+            reported: entry.reported,
+            ejectedUntilMs: entry.ejectedUntilMs,
+            startModel: entry.startModel,
+            countOthers: nowMs => countOthers(entry, nowMs),
+            getAheadTokens: nowMs => getAheadTokens(entry, nowMs),
+            getDelayMs: nowMs => getDelayMs(entry, nowMs),
+            holdsPart: partId => entry.parts.has(partId),
+        };
+    }
+
+    function countOthers(entry: Entry, nowMs: number): number | undefined {
+        const told = listTold(entry, nowMs);
+        return told.length === 0 ? undefined : told.reduce((sum, { running }) => sum + running, 0);
+    }
+
+    // The first of those that wait is being read.
+    function getAheadTokens(entry: Entry, nowMs: number): number {
+        let tokens = sumWaitingTokens(entry);
+        for (const { waitingTokens } of listTold(entry, nowMs)) tokens += waitingTokens;
+        if (tokens === 0) return 0;
+        const readSince = entry.startModel.getTokensPerMs(nowMs) * (nowMs - entry.readingSinceMs);
+        return tokens - Math.min(readSince, tokens / countAllWaiting(entry, nowMs));
+    }
+
+    function countAllWaiting(entry: Entry, nowMs: number): number {
+        return listTold(entry, nowMs).reduce((sum, told) => sum + told.waiting, countWaiting(entry));
+    }
+
+    function listTold(entry: Entry, nowMs: number): readonly SharedServerLoad[] {
+        const told: SharedServerLoad[] = [];
+        for (const { servers, heardAtMs } of peers.values()) {
+            const server = servers.get(entry.backendServer);
+            if (server !== undefined && nowMs - heardAtMs <= peerStaleMs) told.push(server);
+        }
+        return told;
+    }
 }
 
-function toFacts(entry: Entry): ServerFacts {
-    return {
-        backendServer: entry.backendServer,
-        dispatches: entry.dispatches,
-        reported: entry.reported,
-        ejectedUntilMs: entry.ejectedUntilMs,
-        getDelayMs: nowMs => getDelayMs(entry, nowMs),
-        holdsPart: partId => entry.parts.has(partId),
-    };
+function noteParts(entry: Entry, partIds: readonly string[]): void {
+    for (const partId of partIds) {
+        entry.parts.delete(partId);
+        entry.parts.set(partId, true);
+    }
+    while (entry.parts.size > maxParts) entry.parts.delete(entry.parts.keys().next().value!);
+}
+
+function sumWaitingTokens(entry: Entry): number {
+    let tokens = 0;
+    for (const dispatch of entry.dispatches) {
+        if (!dispatch.hasStarted) tokens += dispatch.readTokens;
+    }
+    return tokens;
+}
+
+function countWaiting(entry: Entry): number {
+    let count = 0;
+    for (const dispatch of entry.dispatches) {
+        if (!dispatch.hasStarted) count++;
+    }
+    return count;
 }
 
 // A dispatch that is overdue tells as much as one that began late.
--- a/src/entry/direct/placement.ts
+++ b/src/entry/direct/placement.ts
@@ -4,7 +4,7 @@
  * parts of a prompt are cached, by rendezvous hashing (Thaler and Ravishankar, 1998) of the last part that other
  * prompts share. The part after that is the request's own.
  */
-import { crc32 } from "node:zlib";
+import { getHash32 } from "../../kernel/digest.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { ServerFacts } from "./loadBook.js";
 import type { PromptPart } from "./types.js";
@@ -27,14 +27,15 @@
     readonly server: BackendServerRecord;
     /** Prompt tokens that it is expected to read. */
     readonly readTokens: number;
+    /** Prompt tokens that it is expected to read before, for others. */
+    readonly aheadTokens: number;
     readonly expectedStartMs: number;
 }
 
-const readTokensPerMs = 80;
 /** Reading a part anew also displaces others from the cache and delays what comes after. */
 const readWeight = 2;
-/** Share of a part's tokens that is read where other entries are expected to have sent the part before. */
-const affinityReadShare = 0.25;
+/** Time for which the home of a prompt is preferred, because entries that have not told may have sent its parts there. */
+const homeBonusMs = 40;
 /** Time that one more running request costs a new one at an engine, and one that waits. */
 const runningCostMs = 0.6;
 const waitingCostMs = 12;
@@ -51,15 +52,17 @@
     let best: Placement | undefined;
     let bestMs = Infinity;
     for (const candidate of usable) {
-        const readTokens = estimateReadTokens(request, candidate, candidate === home);
-        const expectedStartMs = estimateStartMs(request, candidate, readTokens, nowMs);
-        const rereadMs = readTokens * (readWeight - 1) / readTokensPerMs;
+        const readTokens = estimateReadTokens(request, candidate);
+        const aheadTokens = candidate.facts.getAheadTokens(nowMs);
+        const expectedStartMs = estimateStartMs(request, candidate, readTokens + aheadTokens, nowMs);
+        const rereadMs = readTokens * (readWeight - 1) / candidate.facts.startModel.getTokensPerMs(nowMs);
         // Equal candidates are told apart at random, so that entries do not all choose the first.
         const tieMs = hashUnit(candidate.server.backendServer, unit) * 0.5;
-        const weighedMs = expectedStartMs + rereadMs + candidate.facts.getDelayMs(nowMs) + tieMs;
+        const bonusMs = candidate === home ? homeBonusMs : 0;
+        const weighedMs = expectedStartMs + rereadMs + candidate.facts.getDelayMs(nowMs) - bonusMs + tieMs;
         if (weighedMs >= bestMs) continue;
         bestMs = weighedMs;
-        best = { server: candidate.server, readTokens, expectedStartMs };
+        best = { server: candidate.server, readTokens, aheadTokens, expectedStartMs };
     }
     return best;
 }
@@ -71,13 +74,14 @@
     return heard.length > 0 ? heard : notEjected;
 }
 
+// Where it is known who holds the prompt's parts, nothing needs to be agreed on.
 function findHome(request: PlacementRequest, candidates: readonly Candidate[]): Candidate | undefined {
     const shared = request.promptParts.at(-2) ?? request.promptParts.at(-1);
-    if (shared === undefined) return undefined;
+    if (shared === undefined || candidates.some(({ facts }) => facts.holdsPart(shared.partId))) return undefined;
     let home: Candidate | undefined;
     let highest = -1;
     for (const candidate of candidates) {
-        const weight = crc32(`${shared.partId} ${candidate.server.backendServer}`);
+        const weight = getHash32(`${shared.partId} ${candidate.server.backendServer}`);
         if (weight <= highest) continue;
         highest = weight;
         home = candidate;
@@ -86,32 +90,33 @@
 }
 
 // A part is of use only where all parts before it are cached too.
-function estimateReadTokens(request: PlacementRequest, candidate: Candidate, isHome: boolean): number {
+function estimateReadTokens(request: PlacementRequest, candidate: Candidate): number {
     let cachedTokens = 0;
-    let isChained = true;
     for (const part of request.promptParts) {
-        isChained &&= candidate.facts.holdsPart(part.partId);
-        if (isChained) cachedTokens += part.tokens;
-        else if (isHome) cachedTokens += part.tokens * (1 - affinityReadShare);
+        if (!candidate.facts.holdsPart(part.partId)) break;
+        cachedTokens += part.tokens;
     }
     return Math.max(0, request.promptTokens - cachedTokens);
 }
 
-function estimateStartMs(request: PlacementRequest, candidate: Candidate, readTokens: number, nowMs: number): number {
+function estimateStartMs(request: PlacementRequest, candidate: Candidate, tokens: number, nowMs: number): number {
     const { server, facts } = candidate;
     const own = facts.dispatches.size;
     const load = facts.reported !== undefined && nowMs - facts.reported.atMs < loadStaleMs ? facts.reported : undefined;
-    const since = load === undefined ? own : countSince(facts, load.atMs);
-    const busy = load === undefined ? own : Math.max(own, load.load.running + load.load.waiting + since);
+    const others = facts.countOthers(nowMs);
+    const busy = others === undefined ? countByReport(facts, load) : own + others;
     const slots = Math.max(1, server.maxRunning);
     const coldness = server.coldLeftMs > 0 ? coldFactor : 1;
     if (request.promptTokens === 0) return coldness * serviceMs * (busy / slots + Math.max(0, busy - slots) / slots);
-    let aheadTokens = 0;
-    for (const dispatch of facts.dispatches) {
-        if (!dispatch.hasStarted) aheadTokens += dispatch.readTokens;
-    }
     const waiting = Math.max(0, busy - slots) + (load?.load.waiting ?? 0);
-    return coldness * ((readTokens + aheadTokens) / readTokensPerMs + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
+    return coldness * (facts.startModel.predictMs(tokens, nowMs) + Math.min(busy, slots) * runningCostMs + waiting * waitingCostMs);
+}
+
+// What other entries have sent since the report is not known.
+function countByReport(facts: ServerFacts, reported: ServerFacts["reported"]): number {
+    const own = facts.dispatches.size;
+    if (reported === undefined) return own;
+    return Math.max(own, reported.load.running + reported.load.waiting + countSince(facts, reported.atMs));
 }
 
 function countSince(facts: ServerFacts, sinceMs: number): number {
@@ -123,5 +128,5 @@
 }
 
 function hashUnit(name: string, unit: number): number {
-    return (crc32(name, Math.floor(unit * 2 ** 31)) >>> 0) / 2 ** 32;
+    return getHash32(`${name} ${unit}`) / 2 ** 32;
 }
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -4,6 +4,7 @@
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { Host } from "../../kernel/host.js";
 import { getErrorText, repeat, sleep } from "../../kernel/tasks.js";
+import type { Address } from "../../kernel/types.js";
 
 /** The backend servers that requests may go to. */
 export interface ServerView {
@@ -18,12 +19,19 @@
 const firstTimeoutMs = 50;
 const retryMs = 50;
 
-/** Creates a view that knows no servers yet. `onChange` is called with each change. */
-export function createServerView(
-    host: Host,
-    control: ControlClient,
-    onChange: (servers: readonly BackendServerRecord[]) => void,
-): ServerView {
+/** Options of a view. */
+export interface ServerViewOptions {
+    readonly control: ControlClient;
+    /** Address at which this entry hears other entries. */
+    readonly watcher: Address;
+    readonly onChange: (servers: readonly BackendServerRecord[]) => void;
+    /** Called with each answer of control. */
+    readonly onWatchers: (watchers: readonly Address[]) => void;
+}
+
+/** Creates a view that knows no servers yet. */
+export function createServerView(host: Host, options: ServerViewOptions): ServerView {
+    const { control, watcher } = options;
     const log = host.createLogger("directory");
     const table = createDirectoryTable();
     let incarnation = "";
@@ -40,10 +48,11 @@
     async function watchOnce(): Promise<void> {
         // The first answer is wanted at once, whatever it holds.
         const timeoutMs = incarnation === "" ? firstTimeoutMs : watchTimeoutMs;
-        const reply = await control.watchDirectory({ incarnation, revision, timeoutMs });
+        const reply = await control.watchDirectory({ incarnation, revision, timeoutMs, watcher });
         if (reply === undefined) return sleep(host.timers, retryMs);
         incarnation = reply.incarnation;
         revision = reply.revision;
+        options.onWatchers(reply.watchers);
         const changed = reply.servers.filter(server => table.merge(server, host.clock.nowMs()) === "changed");
         if (changed.length > 0) rebuild(changed);
     }
@@ -64,6 +73,6 @@
             if (server.state === "ready") ready.set(server.pool, [...ready.get(server.pool) ?? [], server]);
         }
         byPool = ready;
-        onChange(all);
+        options.onChange(all);
     }
 }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -64,6 +64,8 @@
     incarnation: z.string(),
     revision: z.number().int().nonnegative(),
     timeoutMs: z.number().positive().max(60_000),
+    /** Address at which the waiting entry hears other entries. */
+    watcher: name.optional(),
 });
 /** A wait for news of backend servers. */
 export type DirectoryRequest = Readonly<z.infer<typeof directoryRequestSchema>>;
@@ -73,11 +75,16 @@
     readonly incarnation: string;
     readonly revision: number;
     readonly servers: readonly BackendServerRecord[];
+    /** Addresses of other entries that wait for the same news, a bounded number. */
+    readonly watchers: readonly string[];
     readonly isConnected: boolean;
 }
 
-/** Backend servers that one control VM passes on to another. */
-export const directorySpreadSchema = z.object({ servers: z.array(backendServerRecordSchema).max(100_000) });
+/** Backend servers and waiting entries that one control VM passes on to another. */
+export const directorySpreadSchema = z.object({
+    servers: z.array(backendServerRecordSchema).max(100_000),
+    watchers: z.array(name).max(10_000),
+});
 /** Backend servers that one control VM passes on to another. */
 export type DirectorySpread = Readonly<z.infer<typeof directorySpreadSchema>>;
 
@@ -198,6 +205,34 @@
 /** Type of an entry's procedures. */
 export type EntryRouter = ReturnType<typeof createEntryRouter>;
 
+/** What one entry has sent to a backend server and not seen end. */
+export const sharedServerLoadSchema = z.object({
+    backendServer: name,
+    /** Dispatches that have not ended. */
+    running: z.number().int().nonnegative(),
+    /** Dispatches whose answer has not begun, and the prompt tokens that they have to read. */
+    waiting: z.number().int().nonnegative(),
+    waitingTokens: z.number().nonnegative(),
+    /** Parts of prompts that were sent there since the last message. */
+    partIds: z.array(name).max(2_000),
+}).readonly();
+/** What one entry has sent to a backend server and not seen end. */
+export type SharedServerLoad = z.infer<typeof sharedServerLoadSchema>;
+
+/** One entry's dispatches, for another entry. A message takes the place of the one before. */
+export const sharedLoadSchema = z.object({ from: name, sequence: z.number(), servers: z.array(sharedServerLoadSchema).max(10_000) });
+/** One entry's dispatches, for another entry. */
+export type SharedLoad = Readonly<z.infer<typeof sharedLoadSchema>>;
+
+/** Procedures of an entry that dispatches to backend servers itself. */
+export function createGatewayRouter(api: { readonly shareLoad: (load: SharedLoad) => void; }) {
+    return rpc.router({
+        shareLoad: rpc.procedure.input(sharedLoadSchema).mutation(({ input }) => api.shareLoad(input)),
+    });
+}
+/** Type of the procedures of an entry that dispatches itself. */
+export type GatewayRouter = ReturnType<typeof createGatewayRouter>;
+
 /**
  * What a cancelled attempt is billed for. `never`: nothing, because its answer can reach nobody. `finished`: a whole answer, which a
  * retry with its key can still get. `generated`: also a part, because the caller left while it ran.
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -43,12 +43,14 @@
 export interface ControlClientTiming {
     /** Wait for one VM before another way is tried. */
     readonly attemptTimeoutMs: number;
+    /** Wait for an answer on a direct way before the call also goes through a relay. */
+    readonly hedgeAfterMs: number;
     /** Pause between two looks whether a direct way works again. */
     readonly probeEveryMs: number;
 }
 
 /** Timing that suits a fleet whose calls may take long. */
-export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, probeEveryMs: 1_000 };
+export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, hedgeAfterMs: 500, probeEveryMs: 1_000 };
 
 const pauseBetweenRoundsMs = 50;
 /** Time beyond that of a long poll after which its way counts as failed. */
@@ -117,7 +119,7 @@
             if (remainingMs <= 0) return { kind: "unreachable" };
             const path = paths.getLeaderPath();
             const askedAtMs = host.clock.nowMs();
-            const reply = await tryOnce(send, path, Math.min(remainingMs, timing.attemptTimeoutMs));
+            const reply = await tryHedged(send, path, Math.min(remainingMs, timing.attemptTimeoutMs));
             if (reply?.kind === "done") {
                 time.learn(reply.controlTimeMs, askedAtMs);
                 return { kind: "done", index: reply.index, result: reply.result };
@@ -131,6 +133,33 @@
         }
     }
 
+    // Calls carry the id of their operation, so control does them once whichever way they come. A way that lost is not waited for.
+    async function tryHedged<T>(
+        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        path: ControlPath,
+        timeoutMs: number,
+    ): Promise<T | undefined> {
+        const detour = paths.getDetour(path);
+        if (detour === undefined || timing.hedgeAfterMs >= timeoutMs) return tryOnce(send, path, timeoutMs);
+        const direct = tryOnce(send, path, timeoutMs);
+        const first = await Promise.race([direct.then(reply => ({ reply })), sleep(host.timers, timing.hedgeAfterMs)]);
+        if (first !== undefined) return first.reply;
+        const relayed = tryOnce(send, detour, timeoutMs);
+        const winner = await getFirstReply([
+            direct,
+            relayed.then(reply => {
+                if (reply !== undefined) leaveDirect(path);
+                return reply;
+            }),
+        ]);
+        return winner;
+    }
+
+    function leaveDirect(path: ControlPath): void {
+        paths.noteFailure(path);
+        void probe(path.address);
+    }
+
     async function tryOnce<T>(
         send: (client: TRPCClient<ControlRouter>) => Promise<T>,
         path: ControlPath,
@@ -166,6 +195,19 @@
     }
 }
 
+/** The first reply that is there, or undefined when none came. */
+async function getFirstReply<T>(replies: readonly Promise<T | undefined>[]): Promise<T | undefined> {
+    return new Promise(resolve => {
+        let left = replies.length;
+        for (const pending of replies) {
+            void pending.then(reply => {
+                left--;
+                if (reply !== undefined || left === 0) resolve(reply);
+            });
+        }
+    });
+}
+
 function isSamePath(a: ControlPath, b: ControlPath): boolean {
     return a.address === b.address && a.relay === b.relay;
 }
--- a/src/kernel/controlPaths.ts
+++ b/src/kernel/controlPaths.ts
@@ -18,6 +18,8 @@
     getLeaderPath(): ControlPath;
     /** The way to any control VM, the same one while it works. */
     getAnyPath(): ControlPath;
+    /** The way through a relay to where a direct way leads. Undefined where no relay is known, or the way is a detour already. */
+    getDetour(path: ControlPath): ControlPath | undefined;
     /** A call on this way got no answer. Later calls take another one. */
     noteFailure(path: ControlPath): void;
     /** A call on this way was answered. */
@@ -52,6 +54,7 @@
     return {
         getLeaderPath: () => getPath(leader),
         getAnyPath: () => getPath(any),
+        getDetour: path => relay === undefined || path.relay !== undefined ? undefined : { address: path.address, relay },
         noteFailure(path) {
             if (path.relay === undefined) failedAtMs.set(path.address, host.clock.nowMs());
             else if (path.relay === relay) relay = chooseRelay(relay);
--- a/src/kernel/digest.ts
+++ b/src/kernel/digest.ts
@@ -6,6 +6,11 @@
     return createHash("sha256").update(data).digest("hex");
 }
 
+/** Hash of a text in 32 bits. Unlike a checksum, it is not linear, so hashes of texts with a common part are not related. */
+export function getHash32(text: string): number {
+    return createHash("sha256").update(text).digest().readUInt32BE(0);
+}
+
 /** SHA-256 of a value's JSON with sorted keys, so that equal values have equal digests. */
 export function getDigest(value: unknown): string {
     return getSha256(JSON.stringify(value, sortKeys) ?? "");
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -228,7 +228,7 @@
     falseRefusals: { leaseMs: 300_000, maxGrantShare: 0.1, isRecallOn: true },
 } as const;
 /** Calls within a region answer in a few milliseconds, so a silent way is soon given up. */
-const directClientTiming = { attemptTimeoutMs: 350, probeEveryMs: 500 } as const;
+const directClientTiming = { attemptTimeoutMs: 350, hedgeAfterMs: 60, probeEveryMs: 500 } as const;
 const directLeasePacing = {
     tickMs: 60,
     refillPauseMs: { given: 150, refused: 400 },
@@ -286,7 +286,7 @@
     callers = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
-        await host.network.serve({ address: fleetListen, handler: endpoints, maxBodyBytes }),
+        await host.network.serve({ address: fleetListen, handler: endpoints, router: gateway.router, maxBodyBytes: maxFleetBodyBytes }),
         callers,
     ];
     gateway.start();
--- /dev/null
+++ b/test/loadExchange.test.ts
@@ -0,0 +1,114 @@
+/** What entries tell each other of their dispatches, and what they make of it. */
+import { test } from "tap";
+import { createWatcherList } from "../src/control/watcherList.js";
+import { createLoadBook } from "../src/entry/direct/loadBook.js";
+import type { SharedServerLoad } from "../src/kernel/contracts.js";
+import { answerWhole, createDirectFleet } from "./directFleet.js";
+import type { DirectFleet, ServerBehaviour } from "./directFleet.js";
+
+const load: SharedServerLoad = { backendServer: "s1", running: 2, waiting: 1, waitingTokens: 6_000, partIds: ["p1"] };
+
+test("an entry leaves a server that another entry has loaded", async t => {
+    const fleet = await createDirectFleet(41, { entries: 2 });
+    await fleet.world.advance(2_000);
+    for (let round = 0; round < 6; round++) {
+        const answering = holdAnswers(fleet);
+        // Both prompts have the same home, which would take the second one, too, if entries did not tell.
+        const first = fleet.call(0, {
+            path: "/stream/1",
+            id: `a${round}`,
+            tokens: "8000,2",
+            headers: createPrompt(`d${round}`, `a${round}`),
+        });
+        await fleet.world.advance(50);
+        const second = fleet.call(1, {
+            path: "/stream/1",
+            id: `b${round}`,
+            tokens: "900,2",
+            headers: createPrompt(`d${round}`, `b${round}`),
+        });
+        await fleet.world.advance(50);
+        t.same(fleet.servers.map(server => server.seen.length), [round + 1, round + 1], `round ${round}`);
+        answering.release();
+        t.equal((await fleet.world.runUntil(first)).status, 200);
+        t.equal((await fleet.world.runUntil(second)).status, 200);
+        await fleet.world.advance(1_000);
+    }
+});
+
+test("a prompt goes to where another entry has sent its parts", async t => {
+    const fleet = await createDirectFleet(42, { entries: 2, servers: 3 });
+    const documents = Array.from({ length: 12 }, (_, index) => `d${index}`);
+    const ask = async (entry: number, document: string) => {
+        const id = `${document}-${entry}`;
+        const headers = createPrompt(document, id, 1_000);
+        t.equal((await fleet.world.runUntil(fleet.call(entry, { path: "/stream/1", id, tokens: "1100,2", headers }))).status, 200);
+        await fleet.world.advance(100);
+        return fleet.servers.findIndex(server => server.seen.some(request => request.headers["x-attempt-id"] === id));
+    };
+    const beat = async (count: number) => {
+        for (const server of fleet.servers.slice(0, count)) await fleet.world.runUntil(fleet.heartbeat(server, 0));
+        await fleet.world.advance(1_000);
+    };
+    // The third server falls silent, so that prompts whose home it is go to the others.
+    for (let round = 0; round < 6; round++) await beat(2);
+    const holders = [];
+    for (const document of documents) holders.push(await ask(0, document));
+    t.notOk(holders.includes(2));
+    await beat(3);
+    for (const [index, document] of documents.entries()) t.equal(await ask(1, document), holders[index], document);
+});
+
+test("what a peer tells takes the place of what it told before, and grows stale", t => {
+    const loads = createLoadBook();
+    loads.notePeer("e2", [load], 1_000);
+    loads.notePeer("e3", [{ ...load, waitingTokens: 2_000 }], 1_000);
+    t.equal(loads.get("s1").countOthers(1_000), 4);
+    t.equal(loads.get("s1").getAheadTokens(1_000), 8_000);
+    t.ok(loads.get("s1").holdsPart("p1"));
+    loads.notePeer("e3", [], 1_000);
+    t.equal(loads.get("s1").getAheadTokens(1_000), 6_000);
+    t.equal(loads.get("s1").countOthers(4_000), undefined);
+    t.equal(loads.get("s1").getAheadTokens(4_000), 0);
+    t.end();
+});
+
+test("the prompt that is being read counts for what is left of it", t => {
+    const loads = createLoadBook();
+    loads.notePeer("e2", [load], 1_000);
+    const left = loads.get("s1").getAheadTokens(1_050);
+    t.ok(left > 2_000 && left < 4_000, `${left} of 6,000 after 50 ms at 60 a millisecond`);
+    t.end();
+});
+
+test("entries are told of a bounded number of others, and not of those long gone", t => {
+    const watchers = createWatcherList();
+    watchers.noteHere("e1", 0);
+    watchers.noteElsewhere(["e2"], 0);
+    t.same(watchers.listFor("e1", 100), ["e2"]);
+    t.same(watchers.listHere(100), ["e1"], "what others heard is not passed on");
+    t.same(watchers.listFor("e1", 60_000), []);
+    watchers.noteElsewhere(Array.from({ length: 100 }, (_, index) => `f${index}`), 60_000);
+    const listed = watchers.listFor("e1", 60_000);
+    t.equal(listed.length, 12);
+    watchers.noteElsewhere(["g1"], 60_000);
+    t.ok(watchers.listFor("e1", 60_000).filter(address => listed.includes(address)).length >= 11);
+    t.end();
+});
+
+/** A prompt of a shared document and a part of its own. */
+function createPrompt(document: string, own: string, documentTokens = 100): Record<string, string> {
+    return { "x-prompt-prefix": `${document}:${documentTokens},${own}:100` };
+}
+
+/** Holds all answers back until they are released. */
+function holdAnswers(fleet: DirectFleet): { release(): void; } {
+    let release = () => {};
+    const held = new Promise<void>(resolve => release = resolve);
+    const hold: ServerBehaviour = async (request, response, server) => {
+        await held;
+        await answerWhole(request, response, server);
+    };
+    for (const server of fleet.servers) server.behaviour = hold;
+    return { release };
+}
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -75,3 +75,17 @@
     t.equal(homes.size, 1);
     t.end();
 });
+
+test("homes are spread evenly", t => {
+    const names = Array.from({ length: 12 }, (_, index) => `server-${index + 1}`);
+    const counts = new Map<string, number>();
+    const loads = createLoadBook();
+    for (let index = 0; index < 2_400; index++) {
+        const prompt = { promptTokens: 900, promptParts: [{ partId: `document-${index}`, tokens: 800 }, { partId: "own", tokens: 100 }] };
+        const candidates = names.map(name => ({ server: { ...servers[0]!, backendServer: name }, facts: loads.get(name) }));
+        const { backendServer } = place(prompt, candidates, 0, 0.5)!.server;
+        counts.set(backendServer, (counts.get(backendServer) ?? 0) + 1);
+    }
+    t.ok(Math.min(...counts.values()) > 140 && Math.max(...counts.values()) < 260, [...counts.values()].join(" "));
+    t.end();
+});
