Let requests wait for an entry that has just started

Ruled out: the election (0.24 s after the control VMs serve), the log (nothing to apply anew).

Change: a request waits up to 600 ms for the first configuration and the first list of backend servers; the refusal stays for what takes longer.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -8,7 +8,7 @@
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { BackendConnections, Host, HttpHandler, HttpRequest, HttpResponse } from "../../kernel/host.js";
 import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
-import { createStopController, getErrorText, sleep } from "../../kernel/tasks.js";
+import { createSignal, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { ProcessIdentity } from "../../kernel/types.js";
 import { refuse, toVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
@@ -64,6 +64,8 @@
 const stopPollMs = 50;
 const closeLeasesMs = 800;
 const defaultTimeoutMs = 60_000;
+/** How long a request waits for a process that has just started. */
+const startWaitMs = 600;
 const retryAfterMs = { notReady: 500, stopping: 20 } as const;
 
 /** Creates a gateway that is not ready yet. */
@@ -72,6 +74,7 @@
     const log = host.createLogger("gateway");
     const stopping = createStopController();
     const loads = createLoadBook();
+    const learnt = createSignal(host.timers);
     const statistics = createEntryStatistics();
     const retries = createRetryWindow(options.retryRules);
     const exchange = createLoadExchange(host, { incarnation: identity.incarnation, loads });
@@ -79,6 +82,7 @@
         control,
         watcher: identity.address,
         onChange(all) {
+            learnt.notify();
             loads.keepOnly(new Set(all.map(server => server.backendServer)));
             options.onServers(all);
         },
@@ -113,7 +117,7 @@
     return {
         handle,
         router: createGatewayRouter({ shareLoad: exchange.take }),
-        isReady: () => configuration.isReady() && servers.hasSynced() && !isStopping,
+        isReady: () => isSynced() && !isStopping,
         statistics,
         getVersion: () => configuration.version,
         start() {
@@ -137,7 +141,12 @@
         },
     };
 
+    function isSynced(): boolean {
+        return configuration.isReady() && servers.hasSynced();
+    }
+
     function onConfiguration(): void {
+        learnt.notify();
         const objects = configuration.getObjects();
         routes = createRouteTable(objects.list("httpRoute"));
         limits = objects.list("ingressLimits")[0];
@@ -158,6 +167,7 @@
             if ("problem" in head) refuse("badRequest", head.problem);
             requestId = head.requestId;
             if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
+            await waitUntil(host, learnt, isSynced, Math.min(startWaitMs, head.deadlineMs ?? startWaitMs));
             await serve(createCall(head, request, arrivedAtMs), response);
         }
         catch (error) {
