--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -152,11 +152,21 @@
         limits = objects.list("ingressLimits")[0];
         const before = prepaid;
         prepaid = new Map(objects.list("budget").map(budget => [budget.name, budget.prepaidTokens ?? 0]));
+        logPrepaid(before);
         // What was leased of a total that shrank is asked for anew.
         const lowered = [...prepaid].filter(([name, tokens]) => tokens < (before.get(name) ?? 0)).map(([name]) => name);
         if (lowered.length > 0) leases.giveBack(lowered);
     }
 
+    function logPrepaid(before: ReadonlyMap<string, number>): void {
+        if (before.size === 0) return;
+        for (const [budget, prepaidTokens] of prepaid) {
+            const beforeTokens = before.get(budget);
+            if (prepaidTokens === beforeTokens) continue;
+            log.info("A prepaid total changed.", { budget, beforeTokens, prepaidTokens, version: configuration.version });
+        }
+    }
+
     async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
         const arrivedAtMs = host.clock.nowMs();
         running++;
