--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -15,8 +15,8 @@
 
 /** How a group keeps its size. */
 export interface GroupOptions {
-    /** Addresses at which a VM that is not in touch with its group asks for it. */
-    readonly seeds: readonly Address[];
+    /** Addresses at which a VM that is not in touch with its group asks for it. They may change. */
+    readonly getSeeds: () => readonly Address[];
     /** Voters that the group grows to while learners are there. */
     readonly targetVoters: number;
 }
@@ -96,7 +96,7 @@
 /** Entries by which a learner may lag when it becomes a voter. */
 const maxLagEntries = 50;
 
-/** Creates the tasks. Without seeds only operators change the group. */
+/** Creates the tasks. Without a list of seeds only operators change the group. */
 export function createGroupTasks(host: Host, options: GroupTasksOptions): GroupTasks {
     const { replica, self } = options;
     const log = host.createLogger("group");
@@ -106,7 +106,7 @@
     return {
         join,
         start() {
-            if (options.seeds === undefined) return;
+            if (options.getSeeds === undefined) return;
             const onError = (error: unknown) => log.warn("A tick failed.", { detail: getErrorText(error) });
             void repeat(host.timers, tickMs, stopping.signal, tick, onError);
         },
@@ -121,7 +121,7 @@
 
     // The known members and the seeds are asked in turn. A VM that is a member already is told so.
     async function askToJoin(membership: Membership, leaderAddress: Address | undefined): Promise<void> {
-        const known = [...getMembers(membership).map(member => member.address), ...options.seeds ?? []];
+        const known = [...getMembers(membership).map(member => member.address), ...options.getSeeds?.() ?? []];
         const others = [...new Set(known)].filter(address => address !== self.address);
         if (others.length === 0) return;
         const address = leaderAddress ?? others[asked++ % others.length]!;
--- a/src/kernel/controlPaths.ts
+++ b/src/kernel/controlPaths.ts
@@ -29,6 +29,8 @@
     /** Goes on to another VM for calls that any VM answers. */
     moveAny(from: Address): void;
     learnMembers(addresses: readonly Address[]): void;
+    /** Takes other addresses as those that are known without asking. */
+    setSeeds(addresses: readonly Address[]): void;
     learnRelays(addresses: readonly Address[]): void;
     listMembers(): readonly Address[];
     /** True while calls leave the direct way to an address alone, because it failed and a relay is known. */
@@ -43,7 +45,7 @@
     host: { readonly clock: Clock; readonly random: RandomSource; },
     addresses: readonly Address[],
 ): ControlPaths {
-    const seeds = addresses;
+    let seeds = addresses;
     let members: readonly Address[] = addresses;
     let relays: readonly Address[] = [];
     let relay: Address | undefined;
@@ -75,6 +77,9 @@
             if (!members.includes(leader)) leader = members[0]!;
             if (!members.includes(any)) any = members[Math.floor(host.random.nextUnit() * members.length)]!;
         },
+        setSeeds(addresses) {
+            seeds = addresses;
+        },
         learnRelays(learned) {
             relays = learned;
             if (relay === undefined || !relays.includes(relay)) relay = chooseRelay(undefined);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -85,6 +85,12 @@
     stop(): Promise<void>;
 }
 
+/** A running process that finds control through seeds. */
+export interface SeededProcess<T> extends RunningProcess<T> {
+    /** Takes other addresses in place of the seeds that it was started with. */
+    setSeeds(seeds: readonly Address[]): void;
+}
+
 const maxBodyBytes = 8 * 1024 * 1024;
 const maxFleetBodyBytes = 64 * 1024 * 1024;
 
@@ -179,8 +185,9 @@
     host: Host,
     settings: MemberControlSettings,
     createExtraServer: ExtraServer,
-): Promise<RunningProcess<Control>> {
-    const { vm, failureDomain, fleetListen, groupId, dataFolder, seeds } = settings;
+): Promise<SeededProcess<Control>> {
+    const { vm, failureDomain, fleetListen, groupId, dataFolder } = settings;
+    let seeds = settings.seeds;
     const self = await prepareMember(host, {
         dataFolder,
         groupId,
@@ -197,7 +204,7 @@
         timing: settings.timing,
         snapshotEveryEntries: memberSnapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: directLeaseRules }),
-        group: { seeds, targetVoters: settings.targetVoters },
+        group: { getSeeds: () => seeds, targetVoters: settings.targetVoters },
     });
     const paths = createControlPaths(host, [fleetListen, ...seeds.filter(seed => seed !== fleetListen)]);
     const control = createControlClient(host, paths, directClientTiming);
@@ -212,6 +219,10 @@
     const running = createRunning(part, listeners, control);
     return {
         ...running,
+        setSeeds(addresses) {
+            seeds = addresses;
+            paths.setSeeds(addresses);
+        },
         async stop() {
             following.abort();
             await running.stop();
@@ -255,7 +266,7 @@
 }
 
 /** Starts an entry that dispatches to backend servers itself. */
-export async function startGateway(host: Host, settings: GatewaySettings, protocol: DirectProtocol): Promise<RunningProcess<Gateway>> {
+export async function startGateway(host: Host, settings: GatewaySettings, protocol: DirectProtocol): Promise<SeededProcess<Gateway>> {
     const { vm, failureDomain, fleetListen } = settings;
     const paths = createControlPaths(host, settings.seeds);
     const control = createControlClient(host, paths, directClientTiming);
@@ -290,7 +301,7 @@
         callers,
     ];
     gateway.start();
-    return createRunning(gateway, listeners, control);
+    return { ...createRunning(gateway, listeners, control), setSeeds: paths.setSeeds };
 }
 
 /** Settings of a relay. */
--- a/test/directFleet.ts
+++ b/test/directFleet.ts
@@ -8,7 +8,7 @@
 import { createFakeWorld } from "../src/standins/fakeHost.js";
 import type { FakeVm, FakeWorld } from "../src/standins/fakeHost.js";
 import { startGateway, startMemberControl, startRelay } from "../src/wiring.js";
-import type { RunningProcess } from "../src/wiring.js";
+import type { SeededProcess } from "../src/wiring.js";
 
 export const fleetPort = 7200;
 export const controlPort = 8748;
@@ -17,12 +17,12 @@
 
 export interface ControlVm {
     readonly vm: FakeVm;
-    process: RunningProcess<Control> | undefined;
+    process: SeededProcess<Control> | undefined;
 }
 
 export interface EntryVm {
     readonly vm: FakeVm;
-    process: RunningProcess<Gateway> | undefined;
+    process: SeededProcess<Gateway> | undefined;
 }
 
 /** What a stand-in backend server does with a request. It answers whole and sealed unless told otherwise. */
@@ -46,8 +46,8 @@
     readonly entries: EntryVm[];
     readonly servers: StandInServer[];
     readonly callerVm: FakeVm;
-    startControl(index: number, isFounding: boolean): Promise<void>;
-    startEntry(index: number): Promise<void>;
+    startControl(index: number, isFounding: boolean, knownSeeds?: readonly string[]): Promise<void>;
+    startEntry(index: number, knownSeeds?: readonly string[]): Promise<void>;
     addControl(ip: string): number;
     getLeader(): Control | undefined;
     /** Sends a set to a control VM and returns the status. */
@@ -96,7 +96,7 @@
         entries,
         servers,
         callerVm,
-        async startControl(index, isFounding) {
+        async startControl(index, isFounding, knownSeeds = seeds) {
             const control = controls[index]!;
             const { ip, host } = control.vm;
             control.process = await startMemberControl(host, {
@@ -105,12 +105,12 @@
                 fleetListen: `${ip}:${fleetPort}`,
                 groupId: "test",
                 dataFolder: "/data",
-                seeds,
+                seeds: knownSeeds,
                 isFounding,
                 targetVoters: 3,
             }, (part, client) => ({ address: `${ip}:${controlPort}`, handler: createControlApi(host, client, part) }));
         },
-        async startEntry(index) {
+        async startEntry(index, knownSeeds = seeds) {
             const entry = entries[index]!;
             const { ip, host } = entry.vm;
             entry.process = await startGateway(host, {
@@ -119,7 +119,7 @@
                 listen: `${ip}:${callerPort}`,
                 readyListen: `${ip}:8749`,
                 fleetListen: `${ip}:${fleetPort}`,
-                seeds,
+                seeds: knownSeeds,
                 retryRules: { windowMs: 10_000, ratio: 0.2, slack: 5 },
                 stopMs: 6_000,
                 maxConnections: 20,
--- a/test/group.test.ts
+++ b/test/group.test.ts
@@ -81,3 +81,22 @@
     await world.advance(5_000);
     t.equal((await world.runUntil(fleet.read(2))).status, 503);
 });
+
+test("processes that start with stale seeds go on with those that take their place", async t => {
+    const fleet = await createDirectFleet(8);
+    const { world, controls, entries } = fleet;
+    const stale = ["10.0.8.1:7200", "10.0.8.2:7200"];
+    const added = fleet.addControl("10.0.0.4");
+    await fleet.startControl(added, false, stale);
+    entries[0]!.vm.restart();
+    await fleet.startEntry(0, stale);
+    await world.advance(3_000);
+    t.equal(entries[0]!.process!.part.isReady(), false);
+    t.notOk(fleet.getLeader()!.replica.listPeers().some(peer => peer.voterId.startsWith("10.0.0.4:7200/")));
+    const seeds = controls.slice(0, 3).map(control => `${control.vm.ip}:7200`);
+    entries[0]!.process!.setSeeds(seeds);
+    controls[added]!.process!.setSeeds(seeds);
+    await world.advance(4_000);
+    t.ok(entries[0]!.process!.part.isReady());
+    t.ok(fleet.getLeader()!.replica.listPeers().some(peer => peer.voterId.startsWith("10.0.0.4:7200/")));
+});
