Divide the slack of the retry budget by the entries that there are

Cause: each entry kept a twelfth of the slack, whatever the size of the fleet, so that more than twelve entries could pass the fleet's bound (forty entries that restart once: 480 repeats where 216 are allowed).

Change: control tells entries how many there are; each keeps its part of the slack among twice as many, at least twelve, and never takes a larger part again.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -97,6 +97,7 @@
                 revision: table.revision,
                 servers,
                 watchers: watchers.listFor(request.watcher ?? "", host.clock.nowMs()),
+                watcherCount: watchers.count(host.clock.nowMs()),
                 isConnected: group.isConnected(),
             };
         },
--- a/src/control/watcherList.ts
+++ b/src/control/watcherList.ts
@@ -11,6 +11,7 @@
     listHere(nowMs: number): readonly Address[];
     /** A bounded number of entries other than the one that asks. Whom it is told does not change as others come and go. */
     listFor(watcher: Address, nowMs: number): readonly Address[];
+    count(nowMs: number): number;
 }
 
 /** Several waits. */
@@ -28,11 +29,15 @@
         },
         listHere: nowMs => listRecent(here, nowMs),
         listFor(watcher, nowMs) {
-            const all = new Set([...listRecent(here, nowMs), ...listRecent(elsewhere, nowMs)]);
-            all.delete(watcher);
-            return [...all].sort((a, b) => getRank(watcher, a) - getRank(watcher, b)).slice(0, maxListed);
+            const others = [...listAll(nowMs)].filter(other => other !== watcher);
+            return others.sort((a, b) => getRank(watcher, a) - getRank(watcher, b)).slice(0, maxListed);
         },
+        count: nowMs => listAll(nowMs).size,
     };
+
+    function listAll(nowMs: number): ReadonlySet<Address> {
+        return new Set([...listRecent(here, nowMs), ...listRecent(elsewhere, nowMs)]);
+    }
 }
 
 function listRecent(heardAtMs: Map<Address, number>, nowMs: number): readonly Address[] {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -86,7 +86,10 @@
             loads.keepOnly(new Set(all.map(server => server.backendServer)));
             options.onServers(all);
         },
-        onWatchers: exchange.learnPeers,
+        onWatchers(watchers, watcherCount) {
+            exchange.learnPeers(watchers);
+            retries.learnEntryCount(watcherCount);
+        },
     });
     const leases = createLeaseBook(host, {
         vm: identity.vm,
--- a/src/entry/direct/retryWindow.ts
+++ b/src/entry/direct/retryWindow.ts
@@ -1,7 +1,7 @@
 /**
  * The fleet's retry budget, as one entry's part of it. In any window the repeats to a pool stay under a share of the
- * requests for it plus a slack. Each entry keeps the share of its own requests and a part of the slack, so that no entry
- * needs to hear of the others.
+ * requests for it plus a slack. Each entry keeps the share of its own requests and a part of the slack that leaves room for
+ * twice as many entries as were ever there at once, because one that restarts begins a window of its own.
  */
 
 /** Bounds on repeats. */
@@ -9,7 +9,7 @@
     readonly windowMs: number;
     /** Repeats for each request. */
     readonly ratio: number;
-    /** Repeats in a window beyond that, for this entry alone. */
+    /** Repeats in a window beyond that, for all entries together. */
     readonly slack: number;
 }
 
@@ -18,6 +18,8 @@
     noteRequest(pool: string, nowMs: number): void;
     /** Takes one repeat. False when none is left in the window. */
     tryTake(pool: string, nowMs: number): boolean;
+    /** Learns how many entries there are. */
+    learnEntryCount(count: number): void;
 }
 
 interface Bucket {
@@ -27,11 +29,15 @@
 }
 
 const bucketsPerWindow = 20;
+/** Shares that the slack is divided into at least. */
+const minShares = 12;
+const sharesPerEntry = 2;
 
 /** Creates a window that has seen nothing. */
 export function createRetryWindow(rules: RetryRules): RetryWindow {
     const pools = new Map<string, Bucket[]>();
     const bucketMs = rules.windowMs / bucketsPerWindow;
+    let entryCount = 1;
     return {
         noteRequest(pool, nowMs) {
             getBucket(pool, nowMs).requests++;
@@ -41,12 +47,19 @@
             const buckets = pools.get(pool)!;
             const requests = buckets.reduce((sum, other) => sum + other.requests, 0);
             const repeats = buckets.reduce((sum, other) => sum + other.repeats, 0);
-            if (repeats + 1 > rules.ratio * requests + rules.slack) return false;
+            if (repeats + 1 > rules.ratio * requests + getOwnSlack()) return false;
             bucket.repeats++;
             return true;
         },
+        learnEntryCount(count) {
+            entryCount = Math.max(entryCount, count);
+        },
     };
 
+    function getOwnSlack(): number {
+        return rules.slack / Math.max(minShares, sharesPerEntry * entryCount);
+    }
+
     function getBucket(pool: string, nowMs: number): Bucket {
         const buckets = pools.get(pool) ?? [];
         pools.set(pool, buckets);
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -25,8 +25,8 @@
     /** Address at which this entry hears other entries. */
     readonly watcher: Address;
     readonly onChange: (servers: readonly BackendServerRecord[]) => void;
-    /** Called with each answer of control. */
-    readonly onWatchers: (watchers: readonly Address[]) => void;
+    /** Called with each answer of control: some other entries, and how many there are. */
+    readonly onWatchers: (watchers: readonly Address[], watcherCount: number) => void;
 }
 
 /** Creates a view that knows no servers yet. */
@@ -52,7 +52,7 @@
         if (reply === undefined) return sleep(host.timers, retryMs);
         incarnation = reply.incarnation;
         revision = reply.revision;
-        options.onWatchers(reply.watchers);
+        options.onWatchers(reply.watchers, reply.watcherCount);
         const changed = reply.servers.filter(server => table.merge(server, host.clock.nowMs()) === "changed");
         if (changed.length > 0) rebuild(changed);
     }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -77,6 +77,8 @@
     readonly servers: readonly BackendServerRecord[];
     /** Addresses of other entries that wait for the same news, a bounded number. */
     readonly watchers: readonly string[];
+    /** All entries that wait, the asking one included. */
+    readonly watcherCount: number;
     readonly isConnected: boolean;
 }
 
