--- a/src/entry/direct/loadBook.ts
+++ b/src/entry/direct/loadBook.ts
@@ -1,5 +1,6 @@
 /** What one entry knows of each backend server's load, cache and health, from its dispatches, their answers and other entries. */
-import type { SharedServerLoad } from "../../kernel/contracts.js";
+import type { SharedLoad, SharedServerLoad } from "../../kernel/contracts.js";
+import { createPeerLoads } from "./peerLoads.js";
 import { createStartModel } from "./startModel.js";
 import type { StartModel } from "./startModel.js";
 import type { PromptPart, ServerLoad } from "./types.js";
@@ -48,7 +49,7 @@
     end(backendServer: string, dispatch: Dispatch, how: DispatchEnd, nowMs: number): void;
     noteLoad(backendServer: string, load: ServerLoad, nowMs: number): void;
     /** Takes the dispatches of another entry in. They take the place of what it told before. */
-    notePeer(peer: string, servers: readonly SharedServerLoad[], nowMs: number): void;
+    notePeer(load: SharedLoad, nowMs: number): void;
     /** This entry's dispatches, for other entries. */
     listOwn(): readonly Omit<SharedServerLoad, "partIds">[];
     /** Forgets the servers that are not listed. */
@@ -58,11 +59,6 @@
 /** What a dispatch was expected to take. */
 export type ExpectedStart = Pick<Dispatch, "readTokens" | "aheadTokens" | "expectedStartMs">;
 
-interface Peer {
-    readonly servers: ReadonlyMap<string, SharedServerLoad>;
-    readonly heardAtMs: number;
-}
-
 interface Entry {
     readonly backendServer: string;
     readonly dispatches: Set<Dispatch>;
@@ -80,8 +76,6 @@
 }
 
 const maxParts = 2_000;
-/** An entry that is not heard for this long tells nothing of the present. */
-const peerStaleMs = 1_500;
 const delayHalfLifeMs = 1_500;
 const delayGain = 0.4;
 const firstEjectionMs = 400;
@@ -99,7 +93,7 @@
 /** Creates a book that knows nothing. */
 export function createLoadBook(): LoadBook {
     const entries = new Map<string, Entry>();
-    const peers = new Map<string, Peer>();
+    const peers = createPeerLoads();
     return {
         get: backendServer => toFacts(getEntry(backendServer)),
         begin(backendServer, { readTokens, aheadTokens, expectedStartMs }, parts, nowMs) {
@@ -137,19 +131,16 @@
         noteLoad(backendServer, load, nowMs) {
             getEntry(backendServer).reported = { load, atMs: nowMs };
         },
-        notePeer(peer, servers, nowMs) {
-            const before = peers.get(peer)?.servers;
-            for (const server of servers) {
+        notePeer(load, nowMs) {
+            const waitedBefore = load.servers.map(server => peers.countWaiting(load.from, server.backendServer));
+            const allWaitedBefore = load.servers.map(server => countAllWaiting(getEntry(server.backendServer), nowMs));
+            if (!peers.take(load, nowMs)) return;
+            for (const [index, server] of load.servers.entries()) {
                 const entry = getEntry(server.backendServer);
                 noteParts(entry, server.partIds);
-                const waitedBefore = before?.get(server.backendServer)?.waiting ?? 0;
-                // One of them has begun, or it has begun to read the first.
-                const isNextRead = server.waiting < waitedBefore || (server.waiting > waitedBefore && countAllWaiting(entry, nowMs) === 0);
-                if (isNextRead) entry.readingSinceMs = nowMs;
-            }
-            peers.set(peer, { servers: new Map(servers.map(server => [server.backendServer, server])), heardAtMs: nowMs });
-            for (const [name, { heardAtMs }] of peers) {
-                if (nowMs - heardAtMs > peerStaleMs) peers.delete(name);
+                const hasBegunOne = server.waiting < waitedBefore[index]!;
+                const hasBegunToRead = server.waiting > 0 && allWaitedBefore[index] === 0;
+                if (hasBegunOne || hasBegunToRead) entry.readingSinceMs = nowMs;
             }
         },
         listOwn: () =>
@@ -200,30 +191,21 @@
     }
 
     function countOthers(entry: Entry, nowMs: number): number | undefined {
-        const told = listTold(entry, nowMs);
+        const told = peers.list(entry.backendServer, nowMs);
         return told.length === 0 ? undefined : told.reduce((sum, { running }) => sum + running, 0);
     }
 
     // The first of those that wait is being read.
     function getAheadTokens(entry: Entry, nowMs: number): number {
         let tokens = sumWaitingTokens(entry);
-        for (const { waitingTokens } of listTold(entry, nowMs)) tokens += waitingTokens;
+        for (const { waitingTokens } of peers.list(entry.backendServer, nowMs)) tokens += waitingTokens;
         if (tokens === 0) return 0;
         const readSince = entry.startModel.getTokensPerMs(nowMs) * (nowMs - entry.readingSinceMs);
         return tokens - Math.min(readSince, tokens / countAllWaiting(entry, nowMs));
     }
 
     function countAllWaiting(entry: Entry, nowMs: number): number {
-        return listTold(entry, nowMs).reduce((sum, told) => sum + told.waiting, countWaiting(entry));
-    }
-
-    function listTold(entry: Entry, nowMs: number): readonly SharedServerLoad[] {
-        const told: SharedServerLoad[] = [];
-        for (const { servers, heardAtMs } of peers.values()) {
-            const server = servers.get(entry.backendServer);
-            if (server !== undefined && nowMs - heardAtMs <= peerStaleMs) told.push(server);
-        }
-        return told;
+        return peers.list(entry.backendServer, nowMs).reduce((sum, told) => sum + told.waiting, countWaiting(entry));
     }
 }
 
--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -55,7 +55,6 @@
     const log = host.createLogger("loadExchange");
     const clients = createRpcClients<GatewayRouter>(host.network);
     const peers = new Map<Address, Peer>();
-    const sequences = new Map<string, number>();
     let stopSignal: AbortSignal | undefined;
     let sequence = 0;
 
@@ -72,11 +71,7 @@
                 peer.work.notify();
             }
         },
-        take(load) {
-            if (load.sequence <= (sequences.get(load.from) ?? -1)) return;
-            sequences.set(load.from, load.sequence);
-            loads.notePeer(load.from, load.servers, host.clock.nowMs());
-        },
+        take: load => loads.notePeer(load, host.clock.nowMs()),
         start(signal) {
             stopSignal = signal;
             for (const peer of peers.values()) void tellTask(peer, signal);
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -61,12 +61,13 @@
 
 test("what a peer tells takes the place of what it told before, and grows stale", t => {
     const loads = createLoadBook();
-    loads.notePeer("e2", [load], 1_000);
-    loads.notePeer("e3", [{ ...load, waitingTokens: 2_000 }], 1_000);
+    loads.notePeer({ from: "e2", sequence: 1, servers: [load] }, 1_000);
+    loads.notePeer({ from: "e3", sequence: 1, servers: [{ ...load, waitingTokens: 2_000 }] }, 1_000);
     t.equal(loads.get("s1").countOthers(1_000), 4);
     t.equal(loads.get("s1").getAheadTokens(1_000), 8_000);
     t.ok(loads.get("s1").holdsPart("p1"));
-    loads.notePeer("e3", [], 1_000);
+    loads.notePeer({ from: "e3", sequence: 2, servers: [] }, 1_000);
+    loads.notePeer({ from: "e3", sequence: 1, servers: [load] }, 1_000);
     t.equal(loads.get("s1").getAheadTokens(1_000), 6_000);
     t.equal(loads.get("s1").countOthers(4_000), undefined);
     t.equal(loads.get("s1").getAheadTokens(4_000), 0);
@@ -75,7 +76,7 @@
 
 test("the prompt that is being read counts for what is left of it", t => {
     const loads = createLoadBook();
-    loads.notePeer("e2", [load], 1_000);
+    loads.notePeer({ from: "e2", sequence: 1, servers: [load] }, 1_000);
     const left = loads.get("s1").getAheadTokens(1_050);
     t.ok(left > 2_000 && left < 4_000, `${left} of 6,000 after 50 ms at 60 a millisecond`);
     t.end();
