--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -17,6 +17,7 @@
 import { createNodeConfiguration } from "../configurationView.js";
 import { createEntryStatistics } from "../statistics.js";
 import type { EntryStatistics } from "../statistics.js";
+import { getBilledTokens, getMostTokens } from "./billing.js";
 import { deliver } from "./delivery.js";
 import type { Delivery } from "./delivery.js";
 import { createLoadBook } from "./loadBook.js";
@@ -26,7 +27,7 @@
 import { choosePool, createRouteTable } from "./routeTable.js";
 import type { RouteTable } from "./routeTable.js";
 import { createServerView } from "./serverView.js";
-import type { CallHead, DirectCall, DirectProtocol, GenerationSize } from "./types.js";
+import type { CallHead, DirectCall, DirectProtocol } from "./types.js";
 
 /** Options of a gateway. */
 export interface GatewayOptions {
@@ -239,7 +240,7 @@
         }
         finally {
             // An unexpected failure bills the whole reservation, because nothing is known of what was delivered.
-            const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : getBilledTokens(call, delivery);
+            const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : getBilled(call, delivery);
             reservation?.settle(directAgent, Math.min(billedTokens, reservation.reservedTokens));
         }
         logEnd(call, delivery, reservedAtMs);
@@ -261,8 +262,8 @@
             outcome: delivery.verdict?.code ?? "answered",
             attempts: delivery.attempts,
             events: delivery.deliveredEvents,
-            billedTokens: getBilledTokens(call, delivery),
-            reservedTokens: generation === undefined ? 0 : generation.promptTokens + generation.maxCompletionTokens,
+            billedTokens: getBilled(call, delivery),
+            reservedTokens: generation === undefined ? 0 : getMostTokens(generation),
             version: configuration.version,
             backendServer: delivery.placement?.server.backendServer,
             readTokens: delivery.placement?.readTokens,
@@ -280,22 +281,14 @@
         return leases.reserve({
             budget: call.account.budget,
             weighsMore: "overspend",
-            tokens: generation.promptTokens + generation.maxCompletionTokens,
+            tokens: getMostTokens(generation),
             deadlineMs: call.deadlineAtMs,
         });
     }
 
-    // The prompt counts once for each call that may have run, and the completion by the events that were delivered.
-    function getBilledTokens(call: DirectCall, delivery: Delivery): number {
-        const { generation } = call.head;
-        if (generation === undefined || !delivery.hasAnswered) return 0;
-        return generation.promptTokens + getCompletionTokens(call, generation, delivery);
-    }
-
-    function getCompletionTokens(call: DirectCall, generation: GenerationSize, delivery: Delivery): number {
+    function getBilled(call: DirectCall, delivery: Delivery): number {
         const pool = configuration.getObjects().get("backendServerPool", call.pool);
-        const tokensPerEvent = pool?.engine?.tokensPerEvent ?? generation.maxCompletionTokens;
-        return Math.min(generation.maxCompletionTokens, delivery.deliveredEvents * tokensPerEvent);
+        return getBilledTokens(call.head.generation, delivery, pool?.engine?.tokensPerEvent);
     }
 
     function getAnswerHeaders(): Readonly<Record<string, string>> {
