Send nothing on for a caller that has left while its request waited

Cause: a request that waited for budget or for an entry that had just started was sent on without a look at whether its caller was still there; an abort that came before the dispatch was never heard of again.

Change: the delivery looks before each attempt. Test: a caller leaves an entry that is starting, and no backend server sees the request (seen before).

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -80,7 +80,8 @@
     };
     const sink = createSink();
     options.retries.noteRequest(call.pool, host.clock.nowMs());
-    for (;;) {
+    // The caller may have left while the call waited.
+    while (!call.request.signal.aborted) {
         const placement = choose();
         if (placement === undefined) break;
         const outcome = await attempt(placement);
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -246,3 +246,20 @@
     t.ok(world.nowMs() - startedAtMs < 800);
     t.ok(Number(result.headers["retry-after"]) > 0);
 });
+
+test("a request whose caller left while it waited is not sent on", async t => {
+    const fleet = await createDirectFleet(31, { entries: 1 });
+    const { world, entries } = fleet;
+    entries[0]!.vm.restart();
+
+    await fleet.startEntry(0);
+    const leaving = new AbortController();
+    const call = fleet.call(0, { path: "/safe/1", id: "a", signal: leaving.signal });
+    await world.advance(3);
+    leaving.abort();
+    await world.runUntil(call);
+
+    await world.advance(3_000);
+    t.ok(entries[0]!.process!.part.isReady());
+    t.equal(fleet.servers.flatMap(server => server.seen).length, 0);
+});
