Leave a direct way to control only when a relay answered first; log ways that are left

Read as the person on call: a hedged call marked the direct way as failed whenever the relay answered at all, also after the direct answer had come. Under a slow leader all calls then went through relays for half a second or more, each twice. And no line told that a way to control was left or worked again, though both decide where calls go.

Change: the race stands in kernel/hedge.ts and says which way won; only a lost race leaves the direct way. One line for each way left and regained. Tests: a first way that is slow but earlier wins (it was left before); a lost race; no answer.

--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -5,10 +5,11 @@
 import type { ControlPath, ControlPaths } from "./controlPaths.js";
 import { createControlTimeBound } from "./controlTime.js";
 import type { ControlTimeBound } from "./controlTime.js";
+import { hedge } from "./hedge.js";
 import type { Host } from "./host.js";
 import type { CommandInputs, CommandKind, CommandResults, ControlReply, QueryInputs, QueryKind, QueryResults } from "./messages.js";
 import { createRpcClients } from "./rpc.js";
-import { sleep, withTimeout } from "./tasks.js";
+import { getErrorText, sleep, withTimeout } from "./tasks.js";
 import type { Address, OperationId } from "./types.js";
 
 /** Outcome of a call to control. */
@@ -64,6 +65,7 @@
 ): ControlClient {
     const paths = "getLeaderPath" in known ? known : createControlPaths(host, known);
     const clients = createRpcClients<ControlRouter>(host.network);
+    const log = host.createLogger("controlClient");
     const time = createControlTimeBound(host.clock);
     const callCounts: Record<string, number> = {};
     const probing = new Set<Address>();
@@ -133,7 +135,7 @@
         }
     }
 
-    // Calls carry the id of their operation, so control does them once whichever way they come. A way that lost is not waited for.
+    // Calls carry the id of their operation, so control does them once whichever way they come.
     async function tryHedged<T>(
         send: (client: TRPCClient<ControlRouter>) => Promise<T>,
         path: ControlPath,
@@ -141,23 +143,14 @@
     ): Promise<T | undefined> {
         const detour = paths.getDetour(path);
         if (detour === undefined || timing.hedgeAfterMs >= timeoutMs) return tryOnce(send, path, timeoutMs);
-        const direct = tryOnce(send, path, timeoutMs);
-        const first = await Promise.race([direct.then(reply => ({ reply })), sleep(host.timers, timing.hedgeAfterMs)]);
-        if (first !== undefined) return first.reply;
-        const relayed = tryOnce(send, detour, timeoutMs);
-        const winner = await getFirstReply([
-            direct,
-            relayed.then(reply => {
-                if (reply !== undefined) leaveDirect(path);
-                return reply;
-            }),
-        ]);
-        return winner;
-    }
-
-    function leaveDirect(path: ControlPath): void {
-        paths.noteFailure(path);
-        void probe(path.address);
+        const { reply, winner } = await hedge(
+            host.timers,
+            tryOnce(send, path, timeoutMs),
+            () => tryOnce(send, detour, timeoutMs),
+            timing.hedgeAfterMs,
+        );
+        if (winner === "second") leave(path, "Its answer came later than that of a relay.");
+        return reply;
     }
 
     async function tryOnce<T>(
@@ -167,16 +160,29 @@
     ): Promise<T | undefined> {
         try {
             const reply = await withTimeout(host.timers, send(clients.get(path.address, path.relay)), timeoutMs, "call to control");
-            paths.noteAnswer(path);
+            noteAnswer(path);
             return reply;
         }
-        catch {
-            paths.noteFailure(path);
-            void probe(path.address);
+        catch (error) {
+            leave(path, getErrorText(error));
             return undefined;
         }
     }
 
+    function noteAnswer(path: ControlPath): void {
+        if (path.relay === undefined && paths.isAvoided(path.address)) {
+            log.info("A direct way to control works again.", { address: path.address });
+        }
+        paths.noteAnswer(path);
+    }
+
+    function leave(path: ControlPath, detail: string): void {
+        const isKnown = path.relay === undefined && paths.isAvoided(path.address);
+        if (!isKnown) log.warn("A way to control is left.", { address: path.address, relay: path.relay, detail });
+        paths.noteFailure(path);
+        void probe(path.address);
+    }
+
     // Calls leave a direct way that failed alone, so something else must find out when it works again.
     async function probe(address: Address): Promise<void> {
         if (probing.has(address)) return;
@@ -185,29 +191,16 @@
             await sleep(host.timers, timing.probeEveryMs);
             try {
                 await withTimeout(host.timers, clients.get(address).ping.query(), timing.attemptTimeoutMs, "probe");
-                paths.noteAnswer({ address });
+                noteAnswer({ address });
             }
-            catch {
-                paths.noteFailure({ address });
+            catch (error) {
+                leave({ address }, getErrorText(error));
             }
         }
         probing.delete(address);
     }
 }
 
-/** The first reply that is there, or undefined when none came. */
-async function getFirstReply<T>(replies: readonly Promise<T | undefined>[]): Promise<T | undefined> {
-    return new Promise(resolve => {
-        let left = replies.length;
-        for (const pending of replies) {
-            void pending.then(reply => {
-                left--;
-                if (reply !== undefined || left === 0) resolve(reply);
-            });
-        }
-    });
-}
-
 function isSamePath(a: ControlPath, b: ControlPath): boolean {
     return a.address === b.address && a.relay === b.relay;
 }
--- a/test/hedge.test.ts
+++ b/test/hedge.test.ts
@@ -1,5 +1,8 @@
 /** Calls to control through a relay while the direct way is silent. */
 import { test } from "tap";
+import { hedge } from "../src/kernel/hedge.js";
+import { sleep } from "../src/kernel/tasks.js";
+import { createFakeWorld } from "../src/standins/fakeHost.js";
 import { createDirectFleet } from "./directFleet.js";
 
 test("a request is not held up by a cut from control", async t => {
@@ -14,3 +17,34 @@
     t.equal(result.status, 200);
     t.ok(tookMs < 200, `${tookMs} ms`);
 });
+
+test("the second way is taken only when the first is slow, and wins only when it answers first", async t => {
+    const { world, host } = createHost();
+    const run = (firstMs: number, secondMs: number) => {
+        let seconds = 0;
+        const answer = async (afterMs: number, reply: string) => {
+            await sleep(host.timers, afterMs);
+            return reply;
+        };
+        const startSecond = () => {
+            seconds++;
+            return answer(secondMs, "second");
+        };
+        const hedged = hedge<string>(host.timers, answer(firstMs, "first"), startSecond, 60);
+        return world.runUntil(hedged).then(reply => ({ ...reply, seconds }));
+    };
+    t.strictSame(await run(20, 10), { reply: "first", winner: "first", seconds: 0 });
+    t.strictSame(await run(80, 100), { reply: "first", winner: "first", seconds: 1 }, "slow, but before the other");
+    t.strictSame(await run(500, 10), { reply: "second", winner: "second", seconds: 1 });
+});
+
+test("without an answer no way wins", async t => {
+    const { world, host } = createHost();
+    const hedged = hedge<string>(host.timers, sleep(host.timers, 100) as Promise<undefined>, async () => undefined, 60);
+    t.strictSame(await world.runUntil(hedged), { reply: undefined, winner: undefined });
+});
+
+function createHost() {
+    const world = createFakeWorld(1);
+    return { world, host: world.createVm("10.0.0.1").host };
+}
