Stop waiting for tokens when the caller leaves, and log callers that left

Read as the person on call: a request whose caller had left kept asking control for tokens for up to 700 ms, which takes from those who still wait; and nothing in the log told what became of it.

Change: the reservation ends when the request's signal is aborted; one line tells the request and how long it had waited.

--- a/src/entry/budgets/leaseBook.ts
+++ b/src/entry/budgets/leaseBook.ts
@@ -42,6 +42,8 @@
     readonly weighsMore: "overspend" | "falseRefusals";
     readonly tokens: number;
     readonly deadlineMs: number;
+    /** Aborted when nobody waits for the request any more. */
+    readonly signal?: AbortSignal;
 }
 
 /** The entry's leases. */
@@ -240,6 +242,17 @@
     }
 
     async function reserve(request: ReservationRequest): Promise<Reservation> {
+        const wake = () => leases.get(request.budget)?.changed.notify();
+        request.signal?.addEventListener("abort", wake);
+        try {
+            return await waitForTokens(request);
+        }
+        finally {
+            request.signal?.removeEventListener("abort", wake);
+        }
+    }
+
+    async function waitForTokens(request: ReservationRequest): Promise<Reservation> {
         const first = getLease(request);
         first.preference = preferences[request.weighsMore];
         first.demand.noteRequest(request.tokens, host.clock.nowMs());
@@ -253,7 +266,7 @@
                 lease.waiting.delete(waiter);
                 return take(lease, request.tokens);
             }
-            const isLast = host.clock.nowMs() >= giveUpAtMs;
+            const isLast = host.clock.nowMs() >= giveUpAtMs || request.signal?.aborted === true;
             if (isLast || isHopeless(lease, isFirstTry, request.tokens)) {
                 lease.waiting.delete(waiter);
                 refuseReservation(lease);
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -283,6 +283,7 @@
             weighsMore: "overspend",
             tokens: getMostTokens(generation),
             deadlineMs: call.deadlineAtMs,
+            signal: call.request.signal,
         });
     }
 
@@ -302,7 +303,10 @@
         requestId: string | undefined,
         arrivedAtMs: number,
     ): void {
-        if (request.signal.aborted) return;
+        if (request.signal.aborted) {
+            log.info("A caller has left.", { requestId, path: request.path, tookMs: Math.round(host.clock.nowMs() - arrivedAtMs) });
+            return;
+        }
         statistics.noteRefusal(verdict.code);
         log.info("A request was refused.", {
             requestId,
--- /dev/null
+++ b/test/leaseWait.test.ts
@@ -0,0 +1,20 @@
+/** Requests that wait at an entry for tokens. */
+import { test } from "tap";
+import { createLeaseBook } from "../src/entry/budgets/leaseBook.js";
+import type { ControlClient } from "../src/kernel/controlClient.js";
+import { createControlTimeBound } from "../src/kernel/controlTime.js";
+import { createFakeWorld } from "../src/standins/fakeHost.js";
+
+test("a request whose caller leaves stops waiting at once", async t => {
+    const world = createFakeWorld(1);
+    const { host } = world.createVm("10.0.0.1");
+    const silent = { time: createControlTimeBound(host.clock), submit: async () => ({ kind: "unreachable" }) } as unknown as ControlClient;
+    const leases = createLeaseBook(host, { vm: "e", incarnation: "i", control: silent });
+    const leaving = new AbortController();
+    const waiting = leases.reserve({ budget: "b", weighsMore: "overspend", tokens: 100, deadlineMs: 5_000, signal: leaving.signal });
+    const outcome = waiting.then(() => "reserved", () => "refused");
+    await world.advance(100);
+    leaving.abort();
+    t.equal(await world.runUntil(outcome), "refused");
+    t.ok(world.nowMs() < 150, `${world.nowMs()} ms`);
+});
