Forget the cache and rate of a backend server that started again under its name

Read as the person on call: a server may come back under the same name with an empty cache. Placement went on to believe in the parts and the rate of its earlier life. The book is now kept by name and start of life. Test: parts are gone after a later start (kept before).

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -84,7 +84,7 @@
         watcher: identity.address,
         onChange(all) {
             learnt.notify();
-            loads.keepOnly(new Set(all.map(server => server.backendServer)));
+            loads.keepOnly(all);
             options.onServers(all);
         },
         onWatchers(watchers, watcherCount) {
--- a/src/entry/direct/loadBook.ts
+++ b/src/entry/direct/loadBook.ts
@@ -1,5 +1,6 @@
 /** What one entry knows of each backend server's load, cache and health, from its dispatches, their answers and other entries. */
 import type { SharedLoad, SharedServerLoad } from "../../kernel/contracts.js";
+import type { BackendServerRecord } from "../../kernel/directory.js";
 import { createPeerLoads } from "./peerLoads.js";
 import { createStartModel } from "./startModel.js";
 import type { StartModel } from "./startModel.js";
@@ -52,8 +53,8 @@
     notePeer(load: SharedLoad, nowMs: number): void;
     /** This entry's dispatches, for other entries. */
     listOwn(): readonly Omit<SharedServerLoad, "partIds">[];
-    /** Forgets the servers that are not listed. */
-    keepOnly(backendServers: ReadonlySet<string>): void;
+    /** Forgets the servers that are not listed, and the earlier lives of those that have started again under their name. */
+    keepOnly(servers: readonly Pick<BackendServerRecord, "backendServer" | "bornMs">[]): void;
 }
 
 /** What a dispatch was expected to take. */
@@ -61,6 +62,8 @@
 
 interface Entry {
     readonly backendServer: string;
+    /** Start of the life that this is known of. Undefined until the directory has told. */
+    bornMs: number | undefined;
     readonly dispatches: Set<Dispatch>;
     readonly parts: Map<string, true>;
     readonly startModel: StartModel;
@@ -150,9 +153,12 @@
                 waiting: countWaiting(entry),
                 waitingTokens: sumWaitingTokens(entry),
             })),
-        keepOnly(backendServers) {
-            for (const name of entries.keys()) {
-                if (!backendServers.has(name)) entries.delete(name);
+        keepOnly(servers) {
+            const bornMs = new Map(servers.map(server => [server.backendServer, server.bornMs]));
+            for (const [name, entry] of entries) {
+                const isSameLife = entry.bornMs === undefined || entry.bornMs === bornMs.get(name);
+                if (!bornMs.has(name) || !isSameLife) entries.delete(name);
+                else entry.bornMs = bornMs.get(name);
             }
         },
     };
@@ -162,6 +168,7 @@
         if (known !== undefined) return known;
         const created: Entry = {
             backendServer,
+            bornMs: undefined,
             dispatches: new Set(),
             parts: new Map(),
             startModel: createStartModel(),
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -76,6 +76,17 @@
     t.end();
 });
 
+test("a server that has started again under its name holds nothing", t => {
+    const { loads, choose } = createPlacer();
+    loads.begin("s1", choose(0), request.promptParts, 0);
+    loads.keepOnly(servers);
+    loads.keepOnly(servers);
+    t.ok(loads.get("s1").holdsPart("p1"));
+    loads.keepOnly(servers.map(server => ({ ...server, bornMs: 5_000 })));
+    t.notOk(loads.get("s1").holdsPart("p1"));
+    t.end();
+});
+
 test("homes are spread evenly", t => {
     const names = Array.from({ length: 12 }, (_, index) => `server-${index + 1}`);
     const counts = new Map<string, number>();
