--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -13,7 +13,7 @@
 import { Agent, request as undiciRequest } from "undici";
 import VError from "verror";
 import { createNodeBackendConnections, flattenHeaders, toNetworkError } from "./backendConnections.js";
-import type { Disk, Host, HttpRequest, HttpResponse, IncomingReply, Listener, Logger, Network, ServerOptions } from "./host.js";
+import type { Clock, Disk, Host, HttpRequest, HttpResponse, IncomingReply, Listener, Logger, Network, ServerOptions } from "./host.js";
 import type { Address } from "./types.js";
 
 /** Header that carries the fleet secret between processes. */
@@ -38,10 +38,13 @@
 const maxHeaderSizeBytes = 16_384;
 const randomRange = 2 ** 47;
 
+/** The real clock. Its monotonic time counts from the start of the process. */
+export const nodeClock: Clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
+
 /** Creates the real host. */
 export function createNodeHost(options: NodeHostOptions): Host {
     return {
-        clock: { nowMs: () => performance.now(), wallMs: () => Date.now() },
+        clock: nodeClock,
         timers: {
             after(delayMs, callback) {
                 const timer = setTimeout(callback, delayMs);
