--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -283,6 +283,7 @@
             readTokens: delivery.placement?.prefillTokens,
             aheadTokens: roundOptional(delivery.placement?.queuedTokens),
             expectedStartMs: roundOptional(delivery.placement?.expectedStartMs),
+            connectionAgeMs: Math.round(call.request.connectionAgeMs),
             reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
             answeredAfterMs: roundOptional(delivery.answeredAtMs === undefined ? undefined : delivery.answeredAtMs - call.arrivedAtMs),
             tookMs: Math.round(tookMs),
@@ -321,6 +322,7 @@
             log.info("The caller disconnected before the answer.", {
                 requestId,
                 path: request.path,
+                connectionAgeMs: Math.round(request.connectionAgeMs),
                 tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
             });
             return;
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -40,6 +40,11 @@
     readonly body: Uint8Array;
     /** Aborted when the client disconnects before the response is complete. */
     readonly signal: AbortSignal;
+    /**
+     * Time between the acceptance of the connection and the arrival of this request. The time that a new connection waited in the
+     * listen queue is not part of it.
+     */
+    readonly connectionAgeMs: number;
 }
 
 /** An outgoing HTTP response. */
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -7,7 +7,7 @@
 import { promises as fs } from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { isIP } from "node:net";
 import { dirname } from "node:path";
 import { Agent, request as undiciRequest } from "undici";
@@ -142,6 +142,7 @@
         allowMethodOverride: true,
         maxBodySize: options.maxBodyBytes,
     });
+    const connectedAtMs = new WeakMap<Socket, number>();
     const listener: http.RequestListener = (incoming, outgoing) => {
         if (incoming.url?.startsWith("/rpc/")) {
             if (rpc === undefined || !isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
@@ -151,9 +152,11 @@
             rpc(incoming, outgoing);
             return;
         }
-        void handle(options, incoming, outgoing);
+        const nowMs = nodeClock.nowMs();
+        void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
     };
     const server = await createServer(options, listener);
+    server.on("connection", (socket: Socket) => connectedAtMs.set(socket, nodeClock.nowMs()));
     await listen(server, host, port);
     const boundAddress = server.address() as AddressInfo;
     return {
@@ -207,7 +210,12 @@
     return { host, port };
 }
 
-async function handle(options: ServerOptions, incoming: http.IncomingMessage, outgoing: http.ServerResponse): Promise<void> {
+async function handle(
+    options: ServerOptions,
+    incoming: http.IncomingMessage,
+    outgoing: http.ServerResponse,
+    connectionAgeMs: number,
+): Promise<void> {
     const disconnected = new AbortController();
     outgoing.on("close", () => {
         if (!outgoing.writableFinished) disconnected.abort();
@@ -230,6 +238,7 @@
             headers: flattenHeaders(incoming.headers),
             body,
             signal: disconnected.signal,
+            connectionAgeMs,
         };
         await options.handler(request, response);
     }
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -336,7 +336,14 @@
         };
         const { method, path, headers, body } = outgoing;
         return {
-            request: { method, path, headers: lowerCase(headers ?? {}), body: body ?? new Uint8Array(), signal: requestAbort.signal },
+            request: {
+                method,
+                path,
+                headers: lowerCase(headers ?? {}),
+                body: body ?? new Uint8Array(),
+                signal: requestAbort.signal,
+                connectionAgeMs: 0,
+            },
             response,
         };
     }
--- a/test/absentCaller.test.ts
+++ b/test/absentCaller.test.ts
@@ -3,7 +3,7 @@
 import { test } from "tap";
 import type { HttpHandler } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
-import { sleep } from "../src/kernel/tasks.js";
+import { readAll, sleep } from "../src/kernel/tasks.js";
 
 const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
@@ -58,3 +58,19 @@
     t.equal(counts.present, callerCount);
     await listener.close();
 });
+
+test("the age of a connection is counted from its acceptance to each request", async t => {
+    const agesMs: number[] = [];
+    const handler: HttpHandler = async (request, response) => {
+        agesMs.push(request.connectionAgeMs);
+        response.start(200, { "content-length": "0" });
+        response.end();
+    };
+    const listener = await host.network.serve({ address: "127.0.0.1:0", handler, maxBodyBytes: 1_000 });
+    for (let count = 0; count < 2; count++) {
+        await readAll((await host.network.request(listener.address, { method: "GET", path: "/" })).body);
+        await sleep(host.timers, 30);
+    }
+    t.ok(agesMs[1]! - agesMs[0]! >= 29, `ages ${agesMs.join(", ")}`);
+    await listener.close();
+});
