Know that a caller has left before its request is handled

Cause: new connections wait in the listen queue, of which libuv accepts one a turn; request and close are then both there, but Node.js reads one chunk of a connection a turn, so the handler ran, placed the request, and dispatched it before the close was read.

Change: the host hands a request to its handler only after one more poll phase, and takes the end of the client's data as the disconnect, several turns before the response is closed. It holds for every handler: entries of both kinds and agents. The gateway drops such a request before it reserves tokens. The yield goes.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -67,8 +67,6 @@
 const drainPollMs = 50;
 const closeTimeoutMs = 800;
 const defaultTimeoutMs = 60_000;
-/** Event loop lag above which a request yields before it is served. */
-const yieldLagThresholdMs = 50;
 /** Maximum time that a request waits for a process that has just started to become ready. */
 const startWaitMs = 600;
 const retryAfterMs = { notReady: 500, stopping: 20 } as const;
@@ -192,10 +190,9 @@
             const head = protocol.parseRequest(request);
             if ("problem" in head) refuse("badRequest", head.problem);
             requestId = head.requestId;
+            if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
             if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
             await waitUntil(host, stateChanged, isSynced, Math.min(startWaitMs, head.timeoutMs ?? startWaitMs));
-            // When the event loop lags, a disconnect of the caller may not have been processed yet, so other events run first.
-            if (lagMonitor.getLagMs() > yieldLagThresholdMs) await sleep(host.timers, 0);
             await serve(createCall(head, request, arrivedAtMs), response);
         }
         catch (error) {
@@ -311,6 +308,15 @@
         return isStopping ? { connection: "close" } : {};
     }
 
+    function logDisconnect(request: HttpRequest, requestId: string | undefined, arrivedAtMs: number): void {
+        log.info("The caller disconnected before the answer.", {
+            requestId,
+            path: request.path,
+            connectionAgeMs: Math.round(request.connectionAgeMs),
+            tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
+        });
+    }
+
     function writeRefusal(
         request: HttpRequest,
         response: HttpResponse,
@@ -318,15 +324,7 @@
         requestId: string | undefined,
         arrivedAtMs: number,
     ): void {
-        if (request.signal.aborted) {
-            log.info("The caller disconnected before the answer.", {
-                requestId,
-                path: request.path,
-                connectionAgeMs: Math.round(request.connectionAgeMs),
-                tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
-            });
-            return;
-        }
+        if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
         statistics.recordRefusal(verdict.code);
         log.info("A request was refused.", {
             requestId,
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -217,12 +217,18 @@
     connectionAgeMs: number,
 ): Promise<void> {
     const disconnected = new AbortController();
+    const { socket } = incoming;
+    const onDisconnect = () => disconnected.abort();
+    // The end of the client's data is known several event loop turns before the response is closed.
+    socket.once("end", onDisconnect);
     outgoing.on("close", () => {
-        if (!outgoing.writableFinished) disconnected.abort();
+        socket.off("end", onDisconnect);
+        if (!outgoing.writableFinished) onDisconnect();
     });
     const response = createResponse(outgoing);
     try {
         const body = await readBody(incoming, options.maxBodyBytes);
+        await pollNetwork();
         if (body === undefined) {
             // The rest of the body is not read, so the connection cannot be reused.
             response.start(413, { "content-type": "application/problem+json", "connection": "close", "lovage-verdict": "not-run" });
@@ -247,6 +253,14 @@
     }
 }
 
+/**
+ * Lets the event loop read what has already arrived on all connections, such as the close of the one whose request was just read. Node.js
+ * reads it in the next poll phase, which a timer need not wait for.
+ */
+function pollNetwork(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 async function readBody(incoming: http.IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
     const parts: Buffer[] = [];
     let sizeBytes = 0;
