--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -1,9 +1,14 @@
 /** Exchange of dispatch loads between entries, and its effect on placement. */
 import { test } from "tap";
 import { createWatcherList } from "../src/control/watcherList.js";
+import { createLoadExchange } from "../src/entry/direct/loadExchange.js";
 import { createLoadTracker } from "../src/entry/direct/loadTracker.js";
 import type { LoadTracker } from "../src/entry/direct/loadTracker.js";
+import { createGatewayRouter } from "../src/kernel/contracts.js";
 import type { SharedServerLoad } from "../src/kernel/contracts.js";
+import { createStopController } from "../src/kernel/tasks.js";
+import { createSimulation } from "../src/standins/fakeHost.js";
+import type { Simulation } from "../src/standins/fakeHost.js";
 import { createDirectFleet, sendCompleteAnswer } from "./directFleet.js";
 import type { DirectFleet, ServerBehavior } from "./directFleet.js";
 
@@ -98,6 +103,46 @@
     t.end();
 });
 
+test("an entry sends a limited number of load messages, whatever the traffic and the number of peers", async t => {
+    const simulation = createSimulation(43);
+    const receivedAtMs = await servePeers(simulation, 12);
+    const vm = simulation.createVm("10.0.0.1");
+    const exchange = createLoadExchange(vm.host, { incarnation: "e0", loads: createLoadTracker() });
+    const stopping = createStopController();
+    exchange.addPeers([...receivedAtMs.keys()]);
+    exchange.start(stopping.signal);
+    const durationMs = 4_000;
+    const maxBurst = 4;
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+        exchange.recordDispatch("s1", 6_000, [`p${elapsedMs}`]);
+        await simulation.advance(10);
+    }
+    stopping.abort();
+    const count = [...receivedAtMs.values()].flat().length;
+    t.ok(count <= maxBurst + 25 * durationMs / 1_000, `${count} messages in ${durationMs} ms`);
+    for (const [peer, times] of receivedAtMs) {
+        const gaps = times.slice(1).map((time, index) => time - times[index]!);
+        t.ok(Math.max(...gaps) < 1_500, `${peer} hears again before the last message is out of date`);
+    }
+});
+
+test("an entry without traffic refreshes its peers before their information is out of date", async t => {
+    const simulation = createSimulation(44);
+    const receivedAtMs = await servePeers(simulation, 12);
+    const vm = simulation.createVm("10.0.0.1");
+    const exchange = createLoadExchange(vm.host, { incarnation: "e0", loads: createLoadTracker() });
+    const stopping = createStopController();
+    exchange.addPeers([...receivedAtMs.keys()]);
+    exchange.start(stopping.signal);
+    await simulation.advance(6_000);
+    stopping.abort();
+    for (const [peer, times] of receivedAtMs) {
+        const gaps = times.slice(1).map((time, index) => time - times[index]!);
+        t.ok(gaps.length >= 4 && Math.max(...gaps) < 1_500, `${peer}: gaps of ${gaps.map(Math.round).join(", ")} ms`);
+        t.ok(Math.min(...gaps) > 600, `${peer} gets no more than it needs`);
+    }
+});
+
 /** Creates the header of a prompt with a shared document and a unique part. */
 function createPrompt(document: string, uniquePartId: string, documentTokens = 100): Record<string, string> {
     return { "x-prompt-prefix": `${document}:${documentTokens},${uniquePartId}:100` };
@@ -119,3 +164,21 @@
     for (const server of fleet.servers) server.behavior = hold;
     return { release };
 }
+
+/** Starts entries that record when they receive load messages, by their addresses. */
+async function servePeers(simulation: Simulation, peerCount: number): Promise<Map<string, number[]>> {
+    const receivedAtMs = new Map<string, number[]>();
+    for (let index = 0; index < peerCount; index++) {
+        const vm = simulation.createVm(`10.0.1.${index + 1}`);
+        const address = `${vm.ip}:7200`;
+        const times: number[] = [];
+        receivedAtMs.set(address, times);
+        await vm.host.network.serve({
+            address,
+            handler: () => Promise.resolve(),
+            router: createGatewayRouter({ shareLoad: () => void times.push(simulation.nowMs()) }),
+            maxBodyBytes: 1_000_000,
+        });
+    }
+    return receivedAtMs;
+}
