Bound what is read of backend servers whose bytes do not end

Change: 20 informational responses, 64 KiB and 100 ms for the body of a refusal (the refusal stands whatever its body does), 1 MiB for an event, 16 MiB for bodies and lines read whole; beyond them the connection is closed.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -2,8 +2,8 @@
 import type { MessageCode } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import { NotSentError } from "../../kernel/host.js";
-import type { BackendConnections, Host, IncomingResponse } from "../../kernel/host.js";
-import { getErrorText } from "../../kernel/tasks.js";
+import type { BackendConnections, Host, IncomingResponse, Logger } from "../../kernel/host.js";
+import { getErrorText, readAll } from "../../kernel/tasks.js";
 import { createVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
 import { createEventFramer } from "./eventFramer.js";
@@ -42,6 +42,7 @@
     readonly connections: BackendConnections;
     readonly server: BackendServerRecord;
     readonly sink: StreamSink;
+    readonly log: Logger;
     readonly enginePriority?: number;
     readonly onLoad: (load: ServerLoad) => void;
     /** Called when a valid answer has started. */
@@ -49,6 +50,9 @@
 }
 
 const maxAnswerBytes = 8 * 1024 * 1024;
+/** Limits of the body of a refusal. Beyond them its connection is closed. */
+const maxRefusalBytes = 64 * 1024;
+const refusalBodyTimeoutMs = 100;
 
 /** Sends a request to a backend server and relays the answer. Ends at the deadline or when the caller disconnects. */
 export async function runAttempt(host: Host, call: DirectCall, options: AttemptOptions): Promise<AttemptOutcome> {
@@ -99,7 +103,7 @@
         }
         if (head.load !== undefined) options.onLoad(head.load);
         if (head.isMisdirected || head.isNotRun) {
-            await readBody(reply.body);
+            await discardRefusal(reply);
             const code = head.isMisdirected ? "staleIncarnation" : "backendServerRefused";
             return createFailure("notRun", code, head.isMisdirected ? "unreachable" : "refused", `status ${head.status}`);
         }
@@ -112,6 +116,23 @@
         return head.status < 300 && isStream(call.route) ? relayStream(head, reply) : readAnswer(head, reply);
     }
 
+    async function discardRefusal(reply: IncomingResponse): Promise<void> {
+        const cancelDiscard = host.timers.after(refusalBodyTimeoutMs, () => abortController.abort());
+        try {
+            await discardBody(reply.body);
+        }
+        catch (error) {
+            options.log.info("The body of a refusal did not end.", {
+                requestId: call.head.requestId,
+                backendServer: server.backendServer,
+                detail: getErrorText(error),
+            });
+        }
+        finally {
+            cancelDiscard();
+        }
+    }
+
     // A successful answer must carry the backend server's seal. An error need not, because an intermediary may have generated it.
     function findReplyProblem(head: ReplyHead): string | undefined {
         if (head.isEncoded) return "The body is encoded.";
@@ -121,7 +142,7 @@
     }
 
     async function readAnswer(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
-        const data = await readBody(reply.body);
+        const data = await readAll(reply.body, maxAnswerBytes);
         const isCloseDelimited = reply.isCloseDelimited === true;
         return { kind: "answer", answer: { status: head.status, headers: head.passthroughHeaders, body: data, isCloseDelimited } };
     }
@@ -143,13 +164,11 @@
     }
 }
 
-async function readBody(body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
-    const parts: Uint8Array[] = [];
+/** Reads the body of a refusal, so that its connection can be used again. The outcome of the attempt is known without it. */
+async function discardBody(body: AsyncIterable<Uint8Array>): Promise<void> {
     let sizeBytes = 0;
     for await (const part of body) {
         sizeBytes += part.length;
-        if (sizeBytes > maxAnswerBytes) throw new Error(`The answer is larger than ${maxAnswerBytes} bytes.`);
-        parts.push(part);
+        if (sizeBytes > maxRefusalBytes) return;
     }
-    return Buffer.concat(parts);
 }
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -124,6 +124,7 @@
             connections: options.connections,
             server,
             sink,
+            log: options.log,
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.recordLoad(server.backendServer, load, host.clock.nowMs()),
             onStarted: () => {
--- a/src/entry/direct/eventFramer.ts
+++ b/src/entry/direct/eventFramer.ts
@@ -1,5 +1,6 @@
 /** Splits a stream of server-sent events at event boundaries, so that a broken stream never delivers a partial event. */
 import { createParser } from "eventsource-parser";
+import VError from "verror";
 
 /** Complete events found after one chunk. */
 export interface FramedEvents {
@@ -10,18 +11,26 @@
 
 /** Framer of one stream. */
 export interface EventFramer {
+    /** Throws when an event is larger than the limit. */
     push(chunk: Uint8Array): FramedEvents;
     /** Bytes after the last complete event. */
     readonly rest: Uint8Array;
     readonly lastEventId: string | undefined;
 }
 
+/** Limit of one event. Bytes without an event boundary beyond it are no event stream. */
+const maxEventBytes = 1024 * 1024;
+/** The longest event boundary is a blank line of CR LF after the LF of the line before. */
+const maxBoundaryBytes = 3;
 const lineFeed = 10;
 const carriageReturn = 13;
 
 /** Creates a framer for a stream that resumes after `lastEventId`. */
 export function createEventFramer(lastEventId?: string): EventFramer {
-    let rest: Buffer = Buffer.alloc(0);
+    // Chunks after the last complete event. They are joined only when the event is complete.
+    let restChunks: Uint8Array[] = [];
+    let restBytes = 0;
+    let lastBytes: Uint8Array = new Uint8Array();
     let eventId = lastEventId;
     let count = 0;
     const parser = createParser({
@@ -32,21 +41,36 @@
     });
     return {
         push(chunk) {
-            const data = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
-            const end = findLastEventEnd(data);
-            rest = data.subarray(end);
-            const complete = data.subarray(0, end);
+            // A boundary may begin in an earlier chunk.
+            const searched = Buffer.concat([lastBytes, chunk]);
+            const end = findLastEventEnd(searched) - lastBytes.length;
+            lastBytes = searched.subarray(-maxBoundaryBytes + 1);
             count = 0;
-            if (end > 0) parser.feed(complete.toString("utf8"));
+            if (end <= 0) {
+                keepRest(chunk);
+                return { data: new Uint8Array(), count };
+            }
+            const complete = Buffer.concat([...restChunks, chunk.subarray(0, end)]);
+            restChunks = [];
+            restBytes = 0;
+            keepRest(chunk.subarray(end));
+            parser.feed(complete.toString("utf8"));
             return { data: complete, count };
         },
         get rest() {
-            return rest;
+            return Buffer.concat(restChunks);
         },
         get lastEventId() {
             return eventId;
         },
     };
+
+    function keepRest(chunk: Uint8Array): void {
+        if (chunk.length === 0) return;
+        restChunks.push(chunk);
+        restBytes += chunk.length;
+        if (restBytes > maxEventBytes) throw new VError("an event is larger than %d bytes", maxEventBytes);
+    }
 }
 
 // Returns the offset after the last blank line, or 0 when there is none.
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -11,6 +11,7 @@
 
 interface Connection {
     readonly client: Client;
+    socket: Socket | undefined;
     /** Error of the current socket, if any. */
     socketError: Error | undefined;
     isBusy: boolean;
@@ -19,6 +20,8 @@
 /** Idle connections are closed early, because a backend server may close them without notice. */
 const idleTimeoutMs = 4_000;
 const tcpKeepAliveDelayMs = 1_000;
+/** A server may send informational responses (1xx) before its answer, but not without end. */
+const maxInformationalResponses = 20;
 
 // Errors that occur before the connection is established, so that no part of the request was sent.
 const connectErrorCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
@@ -66,6 +69,7 @@
         const connect = buildConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs });
         const connection: Connection = {
             isBusy: false,
+            socket: undefined,
             socketError: undefined,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
@@ -76,6 +80,7 @@
                     connect(target, (error, socket) => {
                         if (error !== null || socket === null) return callback(error ?? new Error("no socket"), null);
                         connection.socketError = undefined;
+                        connection.socket = socket as Socket;
                         // undici also destroys sockets with its own errors, which say nothing about the server.
                         (socket as Socket).once("error", socketError => {
                             if ("syscall" in socketError) connection.socketError = socketError;
@@ -116,6 +121,7 @@
 }
 
 async function send(connection: Connection, request: OutgoingRequest): Promise<IncomingResponse> {
+    let informationalCount = 0;
     // Building a URL would normalize the path, which must be forwarded unchanged.
     const response = await connection.client.request({
         path: request.path,
@@ -123,6 +129,10 @@
         headers: request.headers,
         body: request.body,
         signal: request.signal,
+        onInfo: () => {
+            informationalCount++;
+            if (informationalCount > maxInformationalResponses) connection.socket?.destroy(new Error("too many informational responses"));
+        },
     });
     const headers = flattenHeaders(response.headers);
     const isCloseDelimited = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -1,5 +1,6 @@
 /** Helpers for asynchronous tasks: sleeping, timeouts, notifications, periodic tasks, and reading of byte streams. */
 import { setMaxListeners } from "node:events";
+import VError from "verror";
 import type { Clock, Host, Timers } from "./host.js";
 
 /** Thrown if an operation does not finish within its timeout. */
@@ -110,22 +111,31 @@
     }
 }
 
-/** Splits a byte stream into lines of text. An unterminated last line is dropped. */
-export async function* readLines(chunks: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+/** Default limit of a body or line that is read whole. */
+const defaultMaxBytes = 16 * 1024 * 1024;
+
+/** Splits a byte stream into lines of text. An unterminated last line is dropped. Throws if a line is longer than the limit. */
+export async function* readLines(chunks: AsyncIterable<Uint8Array>, maxBytes = defaultMaxBytes): AsyncGenerator<string> {
     const decoder = new TextDecoder();
     let unterminated = "";
     for await (const chunk of chunks) {
         unterminated += decoder.decode(chunk, { stream: true });
         const lines = unterminated.split("\n");
         unterminated = lines.pop() ?? "";
+        if (unterminated.length > maxBytes) throw new VError("a line is larger than %d bytes", maxBytes);
         yield* lines;
     }
 }
 
-/** Reads a byte stream to its end. */
-export async function readAll(chunks: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+/** Reads a byte stream to its end. Throws if it is longer than the limit, which closes the connection that it comes from. */
+export async function readAll(chunks: AsyncIterable<Uint8Array>, maxBytes = defaultMaxBytes): Promise<Uint8Array> {
     const parts: Uint8Array[] = [];
-    for await (const chunk of chunks) parts.push(chunk);
+    let sizeBytes = 0;
+    for await (const chunk of chunks) {
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxBytes) throw new VError("a body is larger than %d bytes", maxBytes);
+        parts.push(chunk);
+    }
     return Buffer.concat(parts);
 }
 
