Refuse a request that has no time left instead of sending it on

A request whose time had run out while it waited went out with a deadline of 1 ms; only retries asked whether time was left. It is now refused at once as not run, with a time to come back. Test: a request with 10 ms reached a backend server before, and is refused now.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -62,7 +62,7 @@
 
 /** Maximum number of dispatches of one request, including those that were refused. */
 const maxDispatches = 4;
-/** No new attempt is made when less than this time is left before the deadline. */
+/** No attempt is made when less than this time is left before the deadline. */
 const minAttemptMs = 20;
 /** Base and random spread of the time after which a caller may retry. */
 const retryAfterMs = { base: 250, spread: 500 } as const;
@@ -84,6 +84,10 @@
     options.retryWindow.recordRequest(call.pool, host.clock.nowMs());
     // The caller may have disconnected while the request waited.
     while (!call.request.signal.aborted) {
+        if (!hasTimeForAttempt()) {
+            progress.verdict = createVerdict("notRun", "overloaded", "No time is left for an attempt.");
+            break;
+        }
         const placement = choosePlacementForCall();
         if (placement === undefined) break;
         const outcome = await makeAttempt(placement);
@@ -157,9 +161,13 @@
         });
     }
 
+    function hasTimeForAttempt(): boolean {
+        return call.deadlineMs - host.clock.nowMs() >= minAttemptMs;
+    }
+
     function mayRetry(): boolean {
         const nowMs = host.clock.nowMs();
-        if (call.request.signal.aborted || call.deadlineMs - nowMs < minAttemptMs) return false;
+        if (call.request.signal.aborted || !hasTimeForAttempt()) return false;
         if (progress.dispatches >= maxDispatches) return false;
         if (progress.verdict.kind !== "notRun" && !isRepeatable(call.route)) return false;
         if (progress.possibleRuns >= call.route.maxAttempts) return false;
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -263,3 +263,12 @@
     t.ok(entries[0]!.process!.part.isReady());
     t.equal(fleet.servers.flatMap(server => server.receivedRequests).length, 0);
 });
+
+test("a request that has no time left is refused as not run and reaches no backend server", async t => {
+    const fleet = await createDirectFleet(32);
+    const result = await fleet.simulation.runUntil(fleet.call(0, { path: "/once/1", id: "a", deadlineMs: 10 }));
+    t.equal(result.status, 503);
+    t.ok(Number(result.headers["retry-after"]) > 0);
+    await fleet.simulation.advance(1_000);
+    t.equal(fleet.servers.flatMap(server => server.receivedRequests).length, 0);
+});
