Do not dispatch for a caller that left while its claim or tokens were awaited

Control was cut from the entry for 400 ms in the test, the caller left after 200 ms: the order ran once for nobody.

Change: the attempt looks for the caller and the deadline after the claim and the reservation, gives both back, and is refused as not run; after an earlier attempt that may have run, the earlier verdict stands. Test: 1 run before, 0 now; the resent order runs once.

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -164,6 +164,7 @@
     clientAccount: string,
     body: string,
     idempotencyKey?: string,
+    signal?: AbortSignal,
 ): Promise<ServiceRecord> {
     const headers: Record<string, string> = { authorization: `Bearer ${getApiKey(clientAccount)}` };
     if (idempotencyKey !== undefined) headers["idempotency-key"] = idempotencyKey;
@@ -173,6 +174,7 @@
             path: "/services/shopdesk/orders",
             headers,
             body: Buffer.from(body),
+            signal,
         });
         const verdict = reply.headers["lovage-verdict"] ?? "unknown";
         const text = Buffer.from(await readAll(reply.body)).toString("utf8");
--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -139,6 +139,11 @@
 async function dispatchAttempt(delivery: DeliveryContext, request: AttemptRequest, attempt: Attempt): Promise<AttemptResult> {
     const { exchange, choice } = request;
     const nowMs = delivery.host.clock.nowMs();
+    // The caller may have left, or its time may have run out, while the attempt waited for its claim or tokens.
+    if (exchange.request.signal.aborted || nowMs >= exchange.deadlineMs) {
+        settleNotRun(delivery, attempt);
+        refuse("overloaded", "The caller left or its deadline passed before the dispatch.", controlRetryAfterMs);
+    }
     const endDispatch = delivery.router.recordDispatch(choice, request.routeRequest, nowMs);
     const abort = new AbortController();
     const cancelDeadline = delivery.host.timers.after(Math.max(1, exchange.deadlineMs - nowMs), () => abort.abort());
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -95,3 +95,26 @@
     );
     t.match(unknownAccount, { status: 401, code: "unauthenticated", verdict: "not-run" });
 });
+
+test("an order whose caller left while its claim waited for control does not run until it is sent again", async t => {
+    const fleet = await startFleet(7);
+    const { simulation, callerVm } = fleet;
+    const entryAddress = fleet.getEntryAddress(0);
+    const entryIp = entryAddress.slice(0, entryAddress.indexOf(":"));
+    const controlIps = new Set(fleet.controls.map(control => control.vm.ip));
+    const isCut = (a: string, b: string) => a === entryIp && controlIps.has(b);
+    simulation.setPartition((from, to) => isCut(from, to) || isCut(to, from));
+    const leaving = new AbortController();
+    const order = sendOrder(callerVm.host, entryAddress, "a", "cut 8", "order-8", leaving.signal);
+    await simulation.advance(200);
+    leaving.abort();
+    await simulation.runUntil(order);
+    await simulation.advance(200);
+    simulation.healPartition();
+    await simulation.advance(10_000);
+    const countRuns = () => fleet.services.reduce((sum, service) => sum + service.runs.length, 0);
+    t.equal(countRuns(), 0);
+    const resent = await simulation.runUntil(sendOrder(callerVm.host, fleet.getEntryAddress(1), "a", "cut 8", "order-8"));
+    t.match(resent, { status: 200, verdict: "ran" });
+    t.equal(countRuns(), 1);
+});
