--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -54,6 +54,8 @@
     isReady(): boolean;
     readonly statistics: EntryStatistics;
     getVersion(): number;
+    /** Delay of the timers of this process. */
+    getLagMs(): number;
     start(): void;
     stop(): Promise<void>;
 }
@@ -128,6 +130,7 @@
         isReady: () => isSynced() && !isStopping,
         statistics,
         getVersion: () => configuration.version,
+        getLagMs: lagMonitor.getLagMs,
         start() {
             configuration.start(stopController.signal);
             servers.start(stopController.signal);
@@ -309,6 +312,7 @@
     }
 
     function logDisconnect(request: HttpRequest, requestId: string | undefined, arrivedAtMs: number): void {
+        statistics.recordAbandoned();
         log.info("The caller disconnected before the answer.", {
             requestId,
             path: request.path,
--- a/src/entry/statistics.ts
+++ b/src/entry/statistics.ts
@@ -10,6 +10,8 @@
     recordDispatch(): void;
     recordRetry(): void;
     recordRefusal(code: MessageCode): void;
+    /** Records a caller that left before its answer was complete. */
+    recordAbandoned(): void;
     recordAnswer(serviceClass: ServiceClass, durationMs: number): void;
     recordCompletionTokens(clientAccount: string, completionTokens: number): void;
     /** Returns an answer length that most answers of the client account do not exceed. */
@@ -23,6 +25,7 @@
     readonly dispatches: number;
     readonly retries: number;
     readonly refusals: Readonly<Record<string, number>>;
+    readonly abandoned: number;
     readonly answered: Readonly<Record<ServiceClass, Histogram>>;
 }
 
@@ -42,6 +45,7 @@
     let requests = 0;
     let dispatches = 0;
     let retries = 0;
+    let abandoned = 0;
     return {
         recordRequest: () => void requests++,
         recordDispatch: () => void dispatches++,
@@ -49,6 +53,7 @@
         recordRefusal(code) {
             refusals[code] = (refusals[code] ?? 0) + 1;
         },
+        recordAbandoned: () => void abandoned++,
         recordAnswer: (serviceClass, durationMs) => answered[serviceClass].recordValue(Math.round(durationMs * microsecondsPerMs)),
         recordCompletionTokens(clientAccount, completionTokens) {
             const mean = meanCompletionTokens.get(clientAccount) ?? initialCompletionTokens;
@@ -58,7 +63,7 @@
         },
         getTypicalCompletionTokens: clientAccount =>
             Math.ceil((meanCompletionTokens.get(clientAccount) ?? initialCompletionTokens) * typicalLengthFactor),
-        read: () => ({ requests, dispatches, retries, refusals, answered }),
+        read: () => ({ requests, dispatches, retries, refusals, abandoned, answered }),
     };
 }
 
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -335,17 +335,8 @@
             abort: () => deliver(resetConnection),
         };
         const { method, path, headers, body } = outgoing;
-        return {
-            request: {
-                method,
-                path,
-                headers: lowerCase(headers ?? {}),
-                body: body ?? new Uint8Array(),
-                signal: requestAbort.signal,
-                connectionAgeMs: 0,
-            },
-            response,
-        };
+        const content = { method, path, headers: lowerCase(headers ?? {}), body: body ?? new Uint8Array() };
+        return { request: { ...content, signal: requestAbort.signal, connectionAgeMs: 0 }, response };
     }
 
     // Calls may be lost, duplicated and reordered, and replies lost and reordered. A relayed call is delivered if neither of its
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -314,7 +314,7 @@
     });
     const endpoints = createProcessHandler({
         isReady: gateway.isReady,
-        readMetrics: () => readRequestMetrics(gateway),
+        readMetrics: () => readGatewayMetrics(gateway),
         handler: rejectUnauthorized,
     });
     clientListener = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
@@ -428,6 +428,15 @@
     ];
 }
 
+function readGatewayMetrics(gateway: Gateway): readonly MetricReading[] {
+    const { abandoned } = gateway.statistics.read();
+    return [
+        ...readRequestMetrics(gateway),
+        { name: "lovage_entry_abandoned", help: "callers that left before their answer was complete", value: abandoned },
+        { name: "lovage_entry_timer_lag_ms", help: "delay of the timers of this process", value: gateway.getLagMs() },
+    ];
+}
+
 function readRequestMetrics(entry: Pick<Entry, "statistics" | "getVersion">): readonly MetricReading[] {
     const counts = entry.statistics.read();
     return [
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -262,6 +262,7 @@
     await simulation.advance(3_000);
     t.ok(entries[0]!.process!.part.isReady());
     t.equal(fleet.servers.flatMap(server => server.receivedRequests).length, 0);
+    t.equal(entries[0]!.process!.part.statistics.read().abandoned, 1);
 });
 
 test("a request that has no time left is refused as not run and reaches no backend server", async t => {
