--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -55,7 +55,7 @@
 const refreshIntervalMs = 400;
 /** Interval of messages to a peer while there is nothing new. Must be shorter than the time after which peers drop a report. */
 const idleRefreshIntervalMs = 1_000;
-/** Each message costs both entries about as much processor time as a tenth of a request. */
+/** Keeps the exchange a small part of an entry's work, because each message costs both entries processor time. */
 const messagesPerSecond = 25;
 const maxBurstMessages = 4;
 const sendTimeoutMs = 300;
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -104,13 +104,7 @@
 });
 
 test("an entry sends a limited number of load messages, whatever the traffic and the number of peers", async t => {
-    const simulation = createSimulation(43);
-    const receivedAtMs = await servePeers(simulation, 12);
-    const vm = simulation.createVm("10.0.0.1");
-    const exchange = createLoadExchange(vm.host, { incarnation: "e0", loads: createLoadTracker() });
-    const stopping = createStopController();
-    exchange.addPeers([...receivedAtMs.keys()]);
-    exchange.start(stopping.signal);
+    const { simulation, exchange, receivedAtMs, stopping } = await startExchange(43);
     const durationMs = 4_000;
     const maxBurst = 4;
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
@@ -127,13 +121,7 @@
 });
 
 test("an entry without traffic refreshes its peers before their information is out of date", async t => {
-    const simulation = createSimulation(44);
-    const receivedAtMs = await servePeers(simulation, 12);
-    const vm = simulation.createVm("10.0.0.1");
-    const exchange = createLoadExchange(vm.host, { incarnation: "e0", loads: createLoadTracker() });
-    const stopping = createStopController();
-    exchange.addPeers([...receivedAtMs.keys()]);
-    exchange.start(stopping.signal);
+    const { simulation, receivedAtMs, stopping } = await startExchange(44);
     await simulation.advance(6_000);
     stopping.abort();
     for (const [peer, times] of receivedAtMs) {
@@ -182,3 +170,15 @@
     }
     return receivedAtMs;
 }
+
+/** Starts an exchange with twelve peers. */
+async function startExchange(seed: number) {
+    const simulation = createSimulation(seed);
+    const receivedAtMs = await servePeers(simulation, 12);
+    const { host } = simulation.createVm("10.0.0.1");
+    const exchange = createLoadExchange(host, { incarnation: "e0", loads: createLoadTracker() });
+    const stopping = createStopController();
+    exchange.addPeers([...receivedAtMs.keys()]);
+    exchange.start(stopping.signal);
+    return { simulation, exchange, receivedAtMs, stopping };
+}
