Answer a path that cannot be decoded with 400

A malformed percent escape in the path of a heartbeat, a deregistration (control) or a resumed stream (agent) threw in the handler: the connection was reset, with no answer and no log line. Tests: the connection was reset before, 400 now.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -10,6 +10,7 @@
 import type { Host, HttpRequest, HttpResponse } from "../kernel/host.js";
 import { agentLoadHeader, dispatchSchema } from "../kernel/messages.js";
 import type { AgentAnnouncement, AgentLoad, AgentRefusal, Dispatch, Frame } from "../kernel/messages.js";
+import { decodePathSegment } from "../kernel/pathSegment.js";
 import { createStopController, runPeriodically, sleep } from "../kernel/tasks.js";
 import { findRefusal } from "./admission.js";
 import type { AdmissionState } from "./admission.js";
@@ -161,7 +162,8 @@
     }
 
     async function handleResume(url: URL, request: HttpRequest, response: HttpResponse): Promise<void> {
-        const requestId = decodeURIComponent(url.pathname.slice("/streams/".length));
+        const requestId = decodePathSegment(url.pathname.slice("/streams/".length));
+        if (requestId === undefined) return refuse(response, 400, { code: "badRequest", detail: messages.badRequest.text });
         const stream = streams.get(requestId);
         if (url.searchParams.get("incarnation") !== incarnation) return refuse(response, 409, createRefusal("staleIncarnation"));
         if (stream === undefined) return refuse(response, 404, createRefusal("answerLost"));
--- a/test/operatorApi.test.ts
+++ b/test/operatorApi.test.ts
@@ -1,7 +1,7 @@
 /** Configuration sets from the operator API: the highest version wins, and a rejected set changes nothing. */
 import { test } from "tap";
 import { decodeHeartbeat } from "../platform/heartbeats.js";
-import { createConfiguration, createDirectFleet } from "./directFleet.js";
+import { controlPort, createConfiguration, createDirectFleet } from "./directFleet.js";
 
 test("the highest version wins in any order of arrival", async t => {
     const fleet = await createDirectFleet(31);
@@ -48,3 +48,10 @@
     t.equal(decodeHeartbeat("a", "{"), undefined);
     t.end();
 });
+
+test("a path that cannot be decoded is rejected", async t => {
+    const fleet = await createDirectFleet(34);
+    const request = { method: "POST", path: "/workers/%zz/heartbeat", body: Buffer.from("{}") };
+    const address = `${fleet.controls[0]!.vm.ip}:${controlPort}`;
+    t.equal((await fleet.simulation.runUntil(fleet.callerVm.host.network.request(address, request))).status, 400);
+});
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -118,3 +118,10 @@
     t.match(resent, { status: 200, verdict: "ran" });
     t.equal(countRuns(), 1);
 });
+
+test("an agent refuses a stream whose path cannot be decoded", async t => {
+    const fleet = await startFleet(8);
+    const address = `${fleet.backends[0]!.vm.ip}:7200`;
+    const request = { method: "GET", path: "/streams/%zz?incarnation=i" };
+    t.equal((await fleet.simulation.runUntil(fleet.callerVm.host.network.request(address, request))).status, 400);
+});
