--- a/test/directFleet.ts
+++ b/test/directFleet.ts
@@ -4,7 +4,7 @@
 import type { Control } from "../src/control/control.js";
 import type { Gateway } from "../src/entry/direct/gateway.js";
 import type { HttpHandler, HttpRequest, HttpResponse, IncomingResponse } from "../src/kernel/host.js";
-import { readAll } from "../src/kernel/tasks.js";
+import { readAll, sleep } from "../src/kernel/tasks.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import type { FakeVm, Simulation } from "../src/standins/fakeHost.js";
 import { startGateway, startRelay, startSeededControl } from "../src/wiring.js";
@@ -29,9 +29,12 @@
 export type ServerBehavior = (request: HttpRequest, response: HttpResponse, server: FakeServer) => Promise<void>;
 
 export interface FakeServer {
-    readonly id: string;
+    /** Identity of the current incarnation. */
+    id: string;
     readonly vm: FakeVm;
     readonly address: string;
+    /** Start of the current incarnation. */
+    bornMs: number;
     /** Attempt ids of the requests that the server ran. */
     readonly runs: string[];
     readonly receivedRequests: HttpRequest[];
@@ -54,6 +57,8 @@
     replace(index: number, state: object): Promise<number>;
     read(index: number): Promise<{ readonly status: number; readonly text: string; }>;
     heartbeat(server: FakeServer, controlIndex: number): Promise<number>;
+    /** Kills a server. After the time it starts again under a new id and announces itself. */
+    crashServer(server: FakeServer, downMs: number): Promise<void>;
     call(entryIndex: number, options: CallOptions): Promise<CallResult>;
 }
 
@@ -140,7 +145,7 @@
         },
         async heartbeat(server, controlIndex) {
             server.sequence++;
-            const { id, address, sequence, state } = server;
+            const { id, address, sequence, state, bornMs } = server;
             const body = {
                 service: "models",
                 address,
@@ -150,10 +155,19 @@
                 state,
                 cold_left_ms: 0,
                 seq: sequence,
-                born: 1_000,
+                born: bornMs,
             };
             return (await post(`${controls[controlIndex]!.vm.ip}:${controlPort}`, `/workers/${id}/heartbeat`, body)).status;
         },
+        async crashServer(server, downMs) {
+            server.vm.restart();
+            await sleep(callerVm.host.timers, downMs);
+            server.bornMs = firstBornMs + Math.round(simulation.nowMs());
+            server.id = `${server.id.split(":")[0]}:${server.bornMs}`;
+            server.sequence = 0;
+            await startServer(server);
+            await fleet.heartbeat(server, 0);
+        },
         call: (entryIndex, call) => sendCall(callerVm, `${entries[entryIndex]!.vm.ip}:${callerPort}`, call),
     };
     for (let index = 0; index < 3; index++) await fleet.startControl(index, true);
@@ -189,6 +203,9 @@
     };
 }
 
+/** Start time of the servers' first incarnations. */
+const firstBornMs = 1_000;
+
 async function createServer(simulation: Simulation, index: number): Promise<FakeServer> {
     const vm = simulation.createVm(`10.0.2.${index + 1}`);
     const server: FakeServer = {
@@ -197,17 +214,23 @@
         address: `${vm.ip}:${serverPort}`,
         runs: [],
         receivedRequests: [],
+        bornMs: firstBornMs,
         behavior: sendCompleteAnswer,
         sequence: 0,
         state: "ready",
     };
+    await startServer(server);
+    return server;
+}
+
+async function startServer(server: FakeServer): Promise<void> {
+    const { host, ip } = server.vm;
     const handler: HttpHandler = async (request, response) => {
         server.receivedRequests.push(request);
         await server.behavior(request, response, server);
     };
-    await vm.host.network.serve({ address: server.address, handler, maxBodyBytes: 1_000_000 });
-    await startRelay(vm.host, { fleetListen: `${vm.ip}:${fleetPort}`, fleetSecret: "" });
-    return server;
+    await host.network.serve({ address: server.address, handler, maxBodyBytes: 1_000_000 });
+    await startRelay(host, { fleetListen: `${ip}:${fleetPort}`, fleetSecret: "" });
 }
 
 /** Headers of a valid answer to `request`, including the seal. */
