Quarantine a request whose crashes fall into one failure domain

Cause: three crashes of one failure domain within 5 s were dismissed as the failure of the domain, whichever requests were running. A request that crashes one server after the other of a domain, each second or sooner, was therefore never quarantined, on any path. Change: the crashes of one fingerprint in one failure domain within 1 s count as one. Test: fails before (nothing quarantined after three crashes 1.2 s apart).

--- a/src/control/plugins/quarantine.ts
+++ b/src/control/plugins/quarantine.ts
@@ -1,7 +1,8 @@
 /**
  * Quarantine of requests that may have crashed backend servers. A request fingerprint that was in flight at two crashes
- * is rejected by the whole fleet until its record expires. Simultaneous crashes in one failure domain are not counted.
+ * is rejected by the whole fleet until its record expires. Simultaneous crashes in one failure domain count as one.
  */
+import { countCrashes } from "../../kernel/crashCount.js";
 import type { CrashReport, QuarantineView, Suspicion } from "../../kernel/messages.js";
 import type { ControlPlugin } from "../../kernel/registry.js";
 import type { AuditWriter } from "./audit.js";
@@ -29,14 +30,10 @@
 /** Number of crashes after which a fingerprint is quarantined. */
 export const quarantineCrashCount = 2;
 const quarantineMs = 3_600_000;
-/** Crashes of this many backend servers in one failure domain within the window count as one failure of the domain. */
-const minCorrelatedServers = 3;
-const correlatedWindowMs = 5_000;
 
 /** Creates the quarantine plug-in. */
 export function createQuarantine(audit: AuditWriter): Quarantine {
     const suspects = new Map<string, Suspect>();
-    let recentCrashes: readonly Crash[] = [];
 
     return {
         listQuarantined: () => [...suspects.values()].map(createView).filter(view => view.suspicion === "quarantined"),
@@ -45,7 +42,6 @@
             commands: {
                 "quarantine.report": ({ crashes }, context) => {
                     deleteExpiredSuspects(context.nowMs);
-                    for (const crash of crashes) recordRecentCrash(crash, context.nowMs);
                     for (const crash of crashes) addCrashToSuspect(crash, context.nowMs);
                     const suspicions = Object.fromEntries(
                         crashes.map(crash => [crash.fingerprint, getSuspicion(suspects.get(crash.fingerprint))]),
@@ -77,46 +73,17 @@
             queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView) }) },
             sections: [{
                 name: "quarantine",
-                save: () => ({ suspects: [...suspects.values()], recent: recentCrashes }),
+                save: () => ({ suspects: [...suspects.values()] }),
                 load(data) {
-                    const saved = data as { suspects: Suspect[]; recent: Crash[]; };
+                    const saved = data as { suspects: Suspect[]; };
                     suspects.clear();
                     for (const suspect of saved.suspects) suspects.set(suspect.fingerprint, suspect);
-                    recentCrashes = saved.recent;
                 },
             }],
         },
     };
 
-    function recordRecentCrash(report: CrashReport, nowMs: number): void {
-        const { backendServer, incarnation, failureDomain, isSolo } = report;
-        recentCrashes = [...recentCrashes.filter(crash => crash.atMs >= nowMs - correlatedWindowMs), {
-            backendServer,
-            incarnation,
-            failureDomain,
-            isSolo,
-            atMs: nowMs,
-        }];
-        if (!hasCorrelatedCrashes(failureDomain)) return;
-        // Crashes counted earlier in the window belong to the same failure, so they are removed from the suspects.
-        for (const suspect of suspects.values()) {
-            const crashes = suspect.crashes.filter(crash =>
-                crash.failureDomain !== failureDomain || crash.isSolo || crash.atMs < nowMs - correlatedWindowMs
-            );
-            if (crashes.length === 0) suspects.delete(suspect.fingerprint);
-            else suspects.set(suspect.fingerprint, { ...suspect, crashes });
-        }
-    }
-
-    function hasCorrelatedCrashes(failureDomain: string): boolean {
-        const servers = new Set(
-            recentCrashes.filter(crash => crash.failureDomain === failureDomain && !crash.isSolo).map(crash => crash.backendServer),
-        );
-        return servers.size >= minCorrelatedServers;
-    }
-
     function addCrashToSuspect(report: CrashReport, nowMs: number): void {
-        if (!report.isSolo && hasCorrelatedCrashes(report.failureDomain)) return;
         const { fingerprint, backendServer, incarnation, failureDomain, isSolo } = report;
         const knownCrashes = suspects.get(fingerprint)?.crashes ?? [];
         // Several entries may report the same crash.
@@ -134,7 +101,7 @@
 
 function getSuspicion(suspect: Suspect | undefined): Suspicion {
     if (suspect === undefined) return "clear";
-    return suspect.crashes.length >= quarantineCrashCount ? "quarantined" : "suspect";
+    return countCrashes(suspect.crashes) >= quarantineCrashCount ? "quarantined" : "suspect";
 }
 
 function createView(suspect: Suspect): QuarantineView {
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -128,6 +128,23 @@
     t.end();
 });
 
+test("a request that crashes three backend servers of one failure domain, one after the other, is quarantined", t => {
+    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    for (let server = 0; server < 3; server++) {
+        const crash = {
+            fingerprint: "bad",
+            requestId: `r${server}`,
+            backendServer: `s${server}`,
+            incarnation: "1",
+            failureDomain: "d",
+            isSolo: false,
+        };
+        plugin.commands!["quarantine.report"]!({ crashes: [crash] }, createContext(1_000 + server * 1_200));
+    }
+    t.same(listQuarantined().map(view => view.fingerprint), ["bad"]);
+    t.end();
+});
+
 function createOrderPlan(maxLoadsPerMinute: number) {
     const fleet = createFleetState(createAuditTrail().write, () => []);
     for (let index = 0; index < 3; index++) {
