Do not charge the retry budget for connections that were refused

Change: the budget is charged once a dispatch has reached a server. Ruled out: ejection alone, which ends after 400 ms to 4 s and lets the next request find the server again.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -26,7 +26,16 @@
     | { readonly kind: "answer"; readonly answer: BufferedAnswer; }
     /** The event stream was relayed to its end. */
     | { readonly kind: "streamed"; }
-    | { readonly kind: "failed"; readonly verdict: Verdict; readonly end: DispatchOutcome; };
+    | FailedAttempt;
+
+/** An attempt without a complete answer. */
+export interface FailedAttempt {
+    readonly kind: "failed";
+    readonly verdict: Verdict;
+    readonly end: DispatchOutcome;
+    /** False if no part of the request was sent. */
+    readonly isSent: boolean;
+}
 
 /** Receives the events of a stream. */
 export interface StreamSink {
@@ -85,7 +94,9 @@
     }
     catch (error) {
         abortController.abort();
-        if (error instanceof NotSentError) return createFailure("notRun", "noBackendServer", "unreachable", getErrorText(error));
+        if (error instanceof NotSentError) {
+            return { ...createFailure("notRun", "noBackendServer", "unreachable", getErrorText(error)), isSent: false };
+        }
         if (hasTimedOut) return createFailure("mayHaveRun", "deadlineExceeded", "unknown");
         if (call.request.signal.aborted) return createFailure("mayHaveRun", "outcomeUnknown", "unknown", "The caller has left.");
         return createFailure("mayHaveRun", "outcomeUnknown", "broken", getErrorText(error));
@@ -159,8 +170,8 @@
         return { kind: "streamed" };
     }
 
-    function createFailure(kind: Verdict["kind"], code: MessageCode, end: DispatchOutcome, detail?: string): AttemptOutcome {
-        return { kind: "failed", verdict: createVerdict(kind, code, detail), end };
+    function createFailure(kind: Verdict["kind"], code: MessageCode, end: DispatchOutcome, detail?: string): FailedAttempt {
+        return { kind: "failed", verdict: createVerdict(kind, code, detail), end, isSent: true };
     }
 }
 
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -53,6 +53,8 @@
     answeredAtMs: number | undefined;
     placement: Placement | undefined;
     dispatches: number;
+    /** True when a dispatch has reached a backend server, so that another one adds to the load. */
+    hasReachedServer: boolean;
     deliveredEvents: number;
     lastEventId: string | undefined;
     /** Last complete error answer, which is returned when no later attempt succeeds. */
@@ -75,6 +77,7 @@
         answeredAtMs: undefined,
         placement: undefined,
         dispatches: 0,
+        hasReachedServer: false,
         deliveredEvents: 0,
         lastEventId: undefined,
         failedAnswer: undefined,
@@ -139,6 +142,7 @@
         const end = outcome.kind === "failed" ? outcome.end : outcome.kind === "answer" && outcome.answer.status >= 500 ? "failed" : "good";
         options.loads.end(server.backendServer, dispatch, end, host.clock.nowMs());
         if (outcome.kind !== "failed" || outcome.verdict.kind !== "notRun") progress.possibleRuns++;
+        if (outcome.kind !== "failed" || outcome.isSent) progress.hasReachedServer = true;
         if (outcome.kind === "failed") logFailure(placement, outcome.verdict);
         if (outcome.kind === "answer" && end === "failed") {
             logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`));
@@ -173,7 +177,7 @@
         if (progress.possibleRuns >= call.route.maxAttempts) return false;
         // A stream that has started can be resumed at another server only when the id of its last event is known.
         if (progress.deliveredEvents > 0 && progress.lastEventId === undefined) return false;
-        return options.retryWindow.tryAcquire(call.pool, nowMs);
+        return !progress.hasReachedServer || options.retryWindow.tryAcquire(call.pool, nowMs);
     }
 
     // When any attempt may have run, the verdict cannot be that the request did not run.
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -273,3 +273,15 @@
     await fleet.simulation.advance(1_000);
     t.equal(fleet.servers.flatMap(server => server.receivedRequests).length, 0);
 });
+
+test("connections that are refused do not use up the retry budget", async t => {
+    const fleet = await createDirectFleet(33, { servers: 4 });
+    const { simulation } = fleet;
+    for (const server of fleet.servers.slice(1)) server.vm.crash();
+    const statuses: (number | undefined)[] = [];
+    for (let count = 0; count < 40; count++) {
+        statuses.push((await simulation.runUntil(fleet.call(0, { path: "/once/1", id: `a${count}` }))).status);
+        await simulation.advance(100);
+    }
+    t.same(statuses.filter(status => status !== 200), []);
+});
