Hold back requests that crash backend servers, in the whole fleet

Cause: direct dispatch, the only path that the platform's requests take, had no quarantine: no fingerprint, no report of a crash, no stage that refuses. The quarantine stood in the other path only (entry/delivery). Class: a guard built into one of two paths. Change: entry/direct/crashGuard. A request that ends without an answer after its connection broke is a suspect if the backend server then refuses connections (reset connections and lost answers are none). The crashes go to control's quarantine, which is durable and publishes them with the configuration; until control has confirmed them the entry applies the same count itself. Any whole answer, at any entry, clears the request. Refused with 503, as not run, with the time at which the quarantine ends. A request that broke off at two servers is not sent to a third one. Ruled out: the load exchange as the way to the entries, because entries that cannot reach control are told by it only while they reach each other; 422, because the suspicion can be wrong and ends. With this, a crash record that has grown beyond two crashes can also be cleared by a whole answer on the path through agents.

--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -28,6 +28,7 @@
     readonly registry: Pick<Registry, "getObjectKind">;
     readonly audit: AuditWriter;
     readonly listQuarantined: () => readonly QuarantineView[];
+    readonly listSuspects: () => readonly string[];
     /** Called for each set that is put into force, while its log entry is applied. */
     readonly onActivated?: (objects: ObjectIndex) => void;
 }
@@ -55,7 +56,7 @@
     let recentChanges: readonly RecentChange[] = [];
 
     return {
-        getView: () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
+        getView,
         getDelta,
         getObjectIndex: () => objectIndex,
         getVersion: () => version,
@@ -68,7 +69,7 @@
             queries: {
                 "configuration.validate": input => checkObjects(input.objects, options.registry, objects),
                 "configuration.document": () => ({ operatorVersion, document: operatorDocument }),
-                "configuration.get": () => ({ version, digest, objects, quarantined: options.listQuarantined() }),
+                "configuration.get": getView,
             },
             sections: [{
                 name: "configuration",
@@ -194,6 +195,10 @@
         return { outcome: "accepted", version, problems: [] };
     }
 
+    function getView(): ConfigurationView {
+        return { version, digest, objects, quarantined: options.listQuarantined(), suspects: options.listSuspects() };
+    }
+
     function getDelta(sinceVersion: number): ConfigurationDelta | undefined {
         if (sinceVersion === version) return createDelta(sinceVersion, new Set());
         const firstIndex = recentChanges.findIndex(change => change.baseVersion === sinceVersion);
@@ -205,7 +210,7 @@
         const changed = objects.filter(object => keys.has(getObjectKey(object)));
         const presentKeys = new Set(changed.map(getObjectKey));
         const removed = [...keys].filter(key => !presentKeys.has(key));
-        return { baseVersion, version, digest, changed, removed, quarantined: options.listQuarantined() };
+        return { baseVersion, version, digest, changed, removed, quarantined: options.listQuarantined(), suspects: options.listSuspects() };
     }
 
     function recordAppliedChange(changeId: string, change: AppliedChange): void {
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -48,6 +48,7 @@
         registry,
         audit: audit.write,
         listQuarantined: quarantine.listQuarantined,
+        listSuspects: quarantine.listSuspects,
         onActivated: objects => setPrepaid(objects),
     });
     const budgets = createBudgets({
@@ -152,7 +153,7 @@
 
     function getPublishedKey(): string {
         const fingerprints = quarantine.listQuarantined().map(view => view.fingerprint);
-        return `${configuration.getVersion()} ${fingerprints.join(" ")}`;
+        return `${configuration.getVersion()} ${fingerprints.join(" ")} / ${quarantine.listSuspects().join(" ")}`;
     }
 
     function getEntriesKey(): string {
--- a/src/control/plugins/quarantine.ts
+++ b/src/control/plugins/quarantine.ts
@@ -2,7 +2,7 @@
  * Quarantine of requests that may have crashed backend servers. A request fingerprint that was in flight at two crashes
  * is rejected by the whole fleet until its record expires. Simultaneous crashes in one failure domain count as one.
  */
-import { countCrashes } from "../../kernel/crashCount.js";
+import { countCrashes, quarantineCrashCount } from "../../kernel/crashCount.js";
 import type { CrashReport, QuarantineView, Suspicion } from "../../kernel/messages.js";
 import type { ControlPlugin } from "../../kernel/registry.js";
 import type { AuditWriter } from "./audit.js";
@@ -11,6 +11,8 @@
 export interface Quarantine {
     readonly plugin: ControlPlugin;
     listQuarantined(): readonly QuarantineView[];
+    /** Fingerprints with crashes that are too few for a quarantine. */
+    listSuspects(): readonly string[];
 }
 
 interface Crash {
@@ -27,9 +29,9 @@
     readonly expiresAtMs: number;
 }
 
-/** Number of crashes after which a fingerprint is quarantined. */
-export const quarantineCrashCount = 2;
 const quarantineMs = 3_600_000;
+/** Limits the size of snapshots and of what is published. */
+const maxSuspects = 2_000;
 
 /** Creates the quarantine plug-in. */
 export function createQuarantine(audit: AuditWriter): Quarantine {
@@ -37,6 +39,7 @@
 
     return {
         listQuarantined: () => [...suspects.values()].map(createView).filter(view => view.suspicion === "quarantined"),
+        listSuspects: () => [...suspects.values()].filter(item => getSuspicion(item) === "suspect").map(item => item.fingerprint),
         plugin: {
             name: "quarantine",
             commands: {
@@ -58,11 +61,7 @@
                     }
                     return { suspicions };
                 },
-                "quarantine.exonerate": ({ fingerprint }) => {
-                    const isSuspect = getSuspicion(suspects.get(fingerprint)) === "suspect";
-                    if (isSuspect) suspects.delete(fingerprint);
-                    return { isKnown: isSuspect };
-                },
+                "quarantine.exonerate": ({ fingerprint }) => ({ isKnown: suspects.delete(fingerprint) }),
                 "quarantine.clear": ({ fingerprint, actor }, context) => {
                     const isKnown = suspects.delete(fingerprint);
                     const outcome = isKnown ? "accepted" : "unknown";
@@ -84,12 +83,21 @@
     };
 
     function addCrashToSuspect(report: CrashReport, nowMs: number): void {
-        const { fingerprint, backendServer, incarnation, failureDomain, isSolo } = report;
+        const { fingerprint, backendServer, incarnation, failureDomain, isSolo, ageMs = 0 } = report;
         const knownCrashes = suspects.get(fingerprint)?.crashes ?? [];
         // Several entries may report the same crash.
         if (knownCrashes.some(crash => crash.backendServer === backendServer && crash.incarnation === incarnation)) return;
-        const crashes = [...knownCrashes, { backendServer, incarnation, failureDomain, isSolo, atMs: nowMs }];
+        const crashes = [...knownCrashes, { backendServer, incarnation, failureDomain, isSolo, atMs: nowMs - ageMs }];
+        suspects.delete(fingerprint);
         suspects.set(fingerprint, { fingerprint, crashes, expiresAtMs: nowMs + quarantineMs });
+        deleteOldestSuspects();
+    }
+
+    // The map is in the order of the last crash. Quarantined fingerprints are kept as long as there are others.
+    function deleteOldestSuspects(): void {
+        if (suspects.size <= maxSuspects) return;
+        const oldest = [...suspects.values()].find(suspect => getSuspicion(suspect) === "suspect") ?? suspects.values().next().value;
+        if (oldest !== undefined) suspects.delete(oldest.fingerprint);
     }
 
     function deleteExpiredSuspects(nowMs: number): void {
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -7,6 +7,7 @@
 import type { Verdict } from "../../kernel/verdict.js";
 import { runAttempt } from "./attempt.js";
 import type { AttemptOutcome, BufferedAnswer, StreamSink } from "./attempt.js";
+import type { CrashGuard } from "./crashGuard.js";
 import type { LoadExchange } from "./loadExchange.js";
 import type { LoadTracker } from "./loadTracker.js";
 import { choosePlacement } from "./placement.js";
@@ -24,6 +25,7 @@
     readonly loads: LoadTracker;
     readonly loadExchange: Pick<LoadExchange, "recordDispatch">;
     readonly retryWindow: RetryWindow;
+    readonly crashGuard: CrashGuard;
     readonly log: Logger;
     /** Headers that are added to every answer. */
     readonly getAnswerHeaders: () => Headers;
@@ -48,6 +50,8 @@
 
 interface Progress {
     readonly triedServers: Set<string>;
+    /** Attempts whose connection broke, so that the backend server may have crashed. */
+    brokenAttempts: number;
     /** Attempts that may have run the request. Only these count against the route's `maxAttempts`. */
     possibleRuns: number;
     answeredAtMs: number | undefined;
@@ -64,6 +68,8 @@
 
 /** Maximum number of dispatches of one request, including those that were refused. */
 const maxDispatches = 4;
+/** A request that broke off at this many backend servers may have crashed them, and is not sent to another one. */
+const maxBrokenAttempts = 2;
 /** No attempt is made when less than this time is left before the deadline. */
 const minAttemptMs = 20;
 /** Base and random spread of the time after which a caller may retry. */
@@ -73,6 +79,7 @@
 export async function deliver(host: Host, call: DirectCall, response: HttpResponse, options: DeliveryOptions): Promise<DeliveryResult> {
     const progress: Progress = {
         triedServers: new Set(),
+        brokenAttempts: 0,
         possibleRuns: 0,
         answeredAtMs: undefined,
         placement: undefined,
@@ -84,6 +91,7 @@
         verdict: createVerdict("notRun", "noBackendServer", undefined, getRetryAfterMs()),
     };
     const sink = createSink();
+    const crashWatch = options.crashGuard.watch(call);
     options.retryWindow.recordRequest(call.pool, host.clock.nowMs());
     // The caller may have disconnected while the request waited.
     while (!call.request.signal.aborted) {
@@ -91,9 +99,15 @@
             progress.verdict = createVerdict("notRun", "overloaded", "No time is left for an attempt.");
             break;
         }
+        const heldBackMs = options.crashGuard.getHeldBackMs(call);
+        if (heldBackMs !== undefined) {
+            progress.verdict = createVerdict("notRun", "heldBack", undefined, heldBackMs);
+            break;
+        }
         const placement = choosePlacementForCall();
         if (placement === undefined) break;
         const outcome = await makeAttempt(placement);
+        if (outcome.kind !== "failed") crashWatch.end(true);
         if (outcome.kind === "streamed") {
             response.end();
             return createResult(undefined);
@@ -106,6 +120,7 @@
         else progress.verdict = outcome.verdict;
         if (!mayRetry()) break;
     }
+    crashWatch.end(progress.failedAnswer !== undefined);
     if (progress.failedAnswer !== undefined && !response.hasStarted) return writeAnswer(progress.failedAnswer);
     if (response.hasStarted) response.abort();
     return createResult(toFinalVerdict());
@@ -144,6 +159,10 @@
         if (outcome.kind !== "failed" || outcome.verdict.kind !== "notRun") progress.possibleRuns++;
         if (outcome.kind !== "failed" || outcome.isSent) progress.hasReachedServer = true;
         if (outcome.kind === "failed") logFailure(placement, outcome.verdict);
+        if (end === "broken") {
+            progress.brokenAttempts++;
+            crashWatch.recordBreak(server);
+        }
         if (outcome.kind === "answer" && end === "failed") {
             logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`));
         }
@@ -175,6 +194,7 @@
         if (progress.dispatches >= maxDispatches) return false;
         if (progress.verdict.kind !== "notRun" && !isRepeatable(call.route)) return false;
         if (progress.possibleRuns >= call.route.maxAttempts) return false;
+        if (progress.brokenAttempts >= maxBrokenAttempts) return false;
         // A stream that has started can be resumed at another server only when the id of its last event is known.
         if (progress.deliveredEvents > 0 && progress.lastEventId === undefined) return false;
         return !progress.hasReachedServer || options.retryWindow.tryAcquire(call.pool, nowMs);
@@ -183,8 +203,8 @@
     // When any attempt may have run, the verdict cannot be that the request did not run.
     function toFinalVerdict(): Verdict {
         if (progress.possibleRuns > 0 && progress.verdict.kind === "notRun") return createVerdict("mayHaveRun", "outcomeUnknown");
-        const { kind, code, detail } = progress.verdict;
-        return kind === "notRun" ? createVerdict(kind, code, detail, getRetryAfterMs()) : progress.verdict;
+        const { kind, code, detail, retryAfterMs } = progress.verdict;
+        return kind === "notRun" ? createVerdict(kind, code, detail, retryAfterMs ?? getRetryAfterMs()) : progress.verdict;
     }
 
     function getRetryAfterMs(): number {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -19,6 +19,7 @@
 import { createEntryStatistics } from "../statistics.js";
 import type { EntryStatistics } from "../statistics.js";
 import { getBilledTokens, getReservationTokens } from "./billing.js";
+import { createCrashGuard, getFingerprint } from "./crashGuard.js";
 import { deliver } from "./delivery.js";
 import type { DeliveryResult } from "./delivery.js";
 import { createLoadExchange } from "./loadExchange.js";
@@ -116,6 +117,7 @@
         onVoterAddresses: options.onVoterAddresses,
         onChange: applyConfiguration,
     });
+    const crashGuard = createCrashGuard(host, { control, configuration, connections: options.connections });
     let routes: RouteTable = createRouteTable([]);
     let limits: IngressLimitsObject | undefined;
     // Prepaid tokens by budget name.
@@ -137,6 +139,7 @@
             loadExchange.start(stopController.signal);
             lagMonitor.start(stopController.signal);
             leases.start(stopController.signal);
+            crashGuard.start(stopController.signal);
         },
         async stop() {
             isStopping = true;
@@ -223,6 +226,7 @@
             route,
             pool: choosePool(route, host.random.nextFloat()),
             account,
+            fingerprint: getFingerprint({ head, request, account }),
             priority: account?.priority ?? route.priority,
             arrivedAtMs,
             deadlineMs: arrivedAtMs + timeoutMs,
@@ -237,6 +241,8 @@
     }
 
     async function serve(call: DirectCall, response: HttpResponse): Promise<void> {
+        const heldBackMs = crashGuard.getHeldBackMs(call);
+        if (heldBackMs !== undefined) refuse("heldBack", undefined, heldBackMs);
         const reservation = await reserve(call);
         const reservedAtMs = host.clock.nowMs();
         let delivery: DeliveryResult | undefined;
@@ -248,6 +254,7 @@
                 loads,
                 loadExchange,
                 retryWindow,
+                crashGuard,
                 log,
                 getAnswerHeaders,
             });
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -94,6 +94,8 @@
     readonly route: HttpRouteObject;
     readonly pool: string;
     readonly account?: ClientAccountObject;
+    /** Digest of what makes two requests the same, without the attempt. */
+    readonly fingerprint: string;
     /** Priority of the request. 0 is the most urgent. */
     readonly priority: number;
     readonly arrivedAtMs: number;
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -19,6 +19,10 @@
     findModelRoute(model: string): RouteObject | undefined;
     findServiceRoute(service: string): RouteObject | undefined;
     getSuspicion(fingerprint: string, controlTimeMs: number): Suspicion;
+    /** Remaining time of the quarantine of a fingerprint. Undefined if it is not quarantined. */
+    getQuarantineLeftMs(fingerprint: string, controlTimeMs: number): number | undefined;
+    /** True if control holds crashes against the fingerprint, whether or not it is quarantined. */
+    hasCrashRecord(fingerprint: string): boolean;
     start(signal: AbortSignal): void;
 }
 
@@ -58,6 +62,7 @@
     let routesByModel: ReadonlyMap<string, RouteObject> = new Map();
     let routesByService: ReadonlyMap<string, RouteObject> = new Map();
     let suspicions: ReadonlyMap<string, { readonly suspicion: Suspicion; readonly expiresAtMs: number; }> = new Map();
+    let suspects: ReadonlySet<string> = new Set();
 
     return {
         get version() {
@@ -72,6 +77,12 @@
             const record = suspicions.get(fingerprint);
             return record === undefined || record.expiresAtMs < controlTimeMs ? "clear" : record.suspicion;
         },
+        getQuarantineLeftMs(fingerprint, controlTimeMs) {
+            const record = suspicions.get(fingerprint);
+            const isQuarantined = record?.suspicion === "quarantined" && record.expiresAtMs >= controlTimeMs;
+            return isQuarantined ? record.expiresAtMs - controlTimeMs : undefined;
+        },
+        hasCrashRecord: fingerprint => suspicions.has(fingerprint) || suspects.has(fingerprint),
         start(signal) {
             void run(signal);
         },
@@ -125,25 +136,34 @@
             return;
         }
         revision = newRevision;
-        activate({ version: delta.version, digest: delta.digest, objects: merged, quarantined: delta.quarantined });
+        activate({
+            version: delta.version,
+            digest: delta.digest,
+            objects: merged,
+            quarantined: delta.quarantined,
+            suspects: delta.suspects,
+        });
     }
 
     // A control VM that lags behind may return an older configuration, which is ignored.
     function activate(view: ConfigurationView): void {
         if (view.version < version) return;
+        if (view.version > version) activateObjects(view);
+        suspicions = new Map(view.quarantined.map(item => [item.fingerprint, item]));
+        suspects = new Set(view.suspects);
+        options.onChange?.();
+    }
+
+    function activateObjects(view: ConfigurationView): void {
         const newObjects = view.objects as readonly ConfigurationObject[];
-        if (view.version > version) {
-            assert(getSetDigest(newObjects) === view.digest, "the configuration matches the digest from control");
-            log.info("Configuration activated.", { version: view.version });
-        }
+        assert(getSetDigest(newObjects) === view.digest, "the configuration matches the digest from control");
+        log.info("Configuration activated.", { version: view.version });
         version = view.version;
         objects = createObjectIndex(newObjects);
         accountsByDigest = new Map(objects.list("clientAccount").flatMap(account => account.keyDigests.map(digest => [digest, account])));
         const routes = objects.list("route");
         routesByModel = new Map(routes.flatMap(route => route.model === undefined ? [] : [[route.model, route] as const]));
         routesByService = new Map(routes.flatMap(route => route.service === undefined ? [] : [[route.service, route] as const]));
-        suspicions = new Map(view.quarantined.map(item => [item.fingerprint, item]));
-        options.onChange?.();
     }
 }
 
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -44,6 +44,7 @@
                 throw toNetworkError(error, address);
             }
         },
+        canConnect: address => canConnect(address, options.connectTimeoutMs),
         close() {
             for (const connection of [...byAddress.values()].flat()) void connection.client.destroy();
             byAddress.clear();
@@ -109,6 +110,17 @@
     }
 }
 
+function canConnect(address: Address, timeoutMs: number): Promise<boolean> {
+    const { hostname, port } = new URL(`http://${address}`);
+    const connect = buildConnector({ timeout: timeoutMs });
+    return new Promise(resolve => {
+        connect({ hostname, port, protocol: "http:" }, (error, socket) => {
+            socket?.destroy();
+            resolve(error === null);
+        });
+    });
+}
+
 async function* readBody(connection: Connection, response: IncomingResponse, release: () => void): AsyncGenerator<Uint8Array> {
     try {
         yield* response.body;
--- a/src/kernel/crashCount.ts
+++ b/src/kernel/crashCount.ts
@@ -9,6 +9,8 @@
     readonly isSolo: boolean;
 }
 
+/** Number of crashes, as `countCrashes` counts them, after which a request is quarantined. */
+export const quarantineCrashCount = 2;
 /** Crashes in one failure domain within this time may have one cause outside the request, such as a power failure. */
 const simultaneousCrashesMs = 1_000;
 
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -134,6 +134,8 @@
 export interface BackendConnections {
     /** Sends a request. Aborting its signal closes the connection that carries it. */
     request(address: Address, request: OutgoingRequest): Promise<IncomingResponse>;
+    /** Opens a connection and closes it again. Tells a server that has ended from one that only closed a connection. */
+    canConnect(address: Address): Promise<boolean>;
     close(): void;
 }
 
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -164,6 +164,8 @@
     incarnation: boundedString,
     failureDomain: boundedString,
     isSolo: z.boolean(),
+    /** Time between the crash and the sending of the report. */
+    ageMs: z.number().nonnegative().optional(),
 }).readonly();
 /** Report of a backend server crash that a request may have caused. */
 export type CrashReport = z.infer<typeof crashReportSchema>;
@@ -331,6 +333,8 @@
     readonly objects: readonly unknown[];
     /** Quarantine records of request fingerprints. Their expiry is in control time. */
     readonly quarantined: readonly QuarantineView[];
+    /** Fingerprints with crashes that are too few for a quarantine. Absent in replies of earlier versions. */
+    readonly suspects?: readonly string[];
 }
 
 /** Difference between two versions of the configuration. The digest is that of the full set at the new version. */
@@ -342,6 +346,7 @@
     /** Keys of the removed objects, each made of kind and name. */
     readonly removed: readonly string[];
     readonly quarantined: readonly QuarantineView[];
+    readonly suspects?: readonly string[];
 }
 
 /** One lease, as reported to operators. */
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -242,11 +242,21 @@
             linkTo: (address, relay) => createLink(ip, owner, address, relay),
             createBackendConnections: () => ({
                 request: (address, request) => sendRequest(ip, owner, address, request),
+                canConnect: address => canConnect(ip, owner, address),
                 close: () => undefined,
             }),
         };
     }
 
+    function canConnect(fromIp: string, caller: FakeProcess, address: string): Promise<boolean> {
+        return new Promise(resolve => {
+            const isCutOff = isBlocked(fromIp, getIp(address));
+            after(isCutOff ? connectTimeoutMs : 2 * getDelayMs(), () => {
+                if (caller.isAlive) resolve(!isCutOff && findServer(address) !== undefined);
+            });
+        });
+    }
+
     function sendRequest(fromIp: string, caller: FakeProcess, address: string, request: OutgoingRequest): Promise<IncomingResponse> {
         return new Promise((resolve, reject) => {
             const runIfCallerAlive = (action: () => void) => caller.isAlive && action();
