--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -31,8 +31,8 @@
 
 /** Watches the attempts of one request. */
 export interface CrashWatch {
-    /** Records that the connection to a backend server broke while the request ran. */
-    recordBreak(server: BackendServerRecord): void;
+    /** Records that the connection to a backend server broke while the request ran, after it had delivered some events. */
+    recordBreak(server: BackendServerRecord, events: number): void;
     /** Ends the watch. `isAnswered` is true if a backend server answered the request to the end. */
     end(isAnswered: boolean): void;
 }
@@ -107,7 +107,7 @@
     function watch(call: DirectCall): CrashWatch {
         const breaks: Promise<Crash | undefined>[] = [];
         return {
-            recordBreak: server => void breaks.push(confirmCrash(call, server)),
+            recordBreak: (server, events) => void breaks.push(confirmCrash(call, server, events)),
             end(isAnswered) {
                 if (isAnswered) clear(call.fingerprint);
                 else if (breaks.length > 0) void recordCrashes(breaks);
@@ -116,7 +116,7 @@
     }
 
     // A server that still accepts connections has not crashed: the connection was reset, or the answer was lost.
-    async function confirmCrash(call: DirectCall, server: BackendServerRecord): Promise<Crash | undefined> {
+    async function confirmCrash(call: DirectCall, server: BackendServerRecord, events: number): Promise<Crash | undefined> {
         const atMs = host.clock.nowMs();
         const { backendServer, bornMs, failureDomain } = server;
         const isAlive = await connections.canConnect(server.address);
@@ -125,6 +125,8 @@
             fingerprint: call.fingerprint,
             backendServer,
             address: server.address,
+            events,
+            promptParts: call.head.promptParts.map(part => part.partId).join(" "),
         });
         if (isAlive) return undefined;
         const { fingerprint, head: { requestId } } = call;
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -141,6 +141,7 @@
         progress.placement = placement;
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         options.loadExchange.recordDispatch(server.backendServer, placement.prefillTokens, call.head.promptParts.map(part => part.partId));
+        const eventsBefore = progress.deliveredEvents;
         const outcome = await runAttempt(host, call, {
             protocol: options.protocol,
             connections: options.connections,
@@ -161,7 +162,7 @@
         if (outcome.kind === "failed") logFailure(placement, outcome.verdict);
         if (end === "broken") {
             progress.brokenAttempts++;
-            crashWatch.recordBreak(server);
+            crashWatch.recordBreak(server, progress.deliveredEvents - eventsBefore);
         }
         if (outcome.kind === "answer" && end === "failed") {
             logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`));
