Failing test: prompts that share a part crash servers again and again

Three entries, six servers that are back after 2.5 s under new ids; prompts with one part crash the server that begins to answer, none comes twice. Sound prompts share the first and the second part.

--- a/test/crashingRequests.test.ts
+++ b/test/crashingRequests.test.ts
@@ -1,6 +1,7 @@
 /** Requests that crash the backend servers that run them, on direct dispatch. */
 import { test } from "tap";
-import { createDirectFleet, sendCompleteAnswer } from "./directFleet.js";
+import { sleep } from "../src/kernel/tasks.js";
+import { createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
 import type { DirectFleet, ServerBehavior } from "./directFleet.js";
 
 const contactMs = 3_000;
@@ -22,6 +23,47 @@
     t.same(lateGood.filter(status => status !== 200), [], "sound requests are served once the request is contained");
 });
 
+test("a prompt part that crashes backend servers is contained, and sound prompts with its other parts are served", async t => {
+    const fleet = await createDirectFleet(65, { entries: 3, servers: 6 });
+    const { simulation } = fleet;
+    const crashes = crashOnPart(fleet, "bad");
+    const late = { sound: 0, served: 0 };
+    for (let count = 0; count < 60; count++) {
+        void fleet.call(count % 3, createPromptCall(`bad-${count}`, ["first", "document", "bad", `own-${count}`]));
+        const sound = createPromptCall(`sound-${count}`, ["first", count % 2 === 0 ? "document" : `other-${count}`, `last-${count}`]);
+        const { status, isComplete } = await simulation.runUntil(fleet.call((count + 1) % 3, sound));
+        if (crashes.length >= 5 && simulation.nowMs() > crashes[4]! + 2 * contactMs) {
+            late.sound++;
+            if (status === 200 && isComplete) late.served++;
+        }
+        await simulation.advance(250);
+    }
+    t.ok(crashes.length >= 3, "the part crashes servers");
+    const lateCrashes = crashes.filter(atMs => crashes.length > 4 && atMs > crashes[4]! + contactMs);
+    t.ok(lateCrashes.length <= 3, `${lateCrashes.length} sent later than the contact time after the fifth crash, ${crashes.length} in all`);
+    t.equal(late.served, late.sound);
+});
+
+function createPromptCall(id: string, partIds: readonly string[]): Parameters<DirectFleet["call"]>[1] {
+    const prefix = partIds.map(partId => `${partId}:100`).join(",");
+    return { path: `/stream/${id}`, id, tokens: `${partIds.length * 100},2`, headers: { "x-prompt-prefix": prefix } };
+}
+
+/** Makes each server crash when it begins to answer a prompt with the part. Returns the times of the crashes. */
+function crashOnPart(fleet: DirectFleet, partId: string): number[] {
+    const crashes: number[] = [];
+    const behavior: ServerBehavior = async (request, response, server) => {
+        const parts = (request.headers["x-prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0]);
+        if (!parts.includes(partId)) return sendCompleteAnswer(request, response, server);
+        response.start(200, createSealHeaders(request));
+        await sleep(fleet.callerVm.host.timers, 20);
+        crashes.push(fleet.simulation.nowMs());
+        await fleet.crashServer(server, serverDownMs);
+    };
+    for (const server of fleet.servers) server.behavior = behavior;
+    return crashes;
+}
+
 /** Makes each server crash when it runs a request of the path. Returns the times of the crashes. */
 function crashOn(fleet: DirectFleet, path: string): number[] {
     const crashes: number[] = [];
