Do not quarantine a popular request when a whole pool fails at one moment

Change: crashes within 200 ms count once, whatever their failure domains. Test: quarantined before, not now.

--- a/src/kernel/crashCount.ts
+++ b/src/kernel/crashCount.ts
@@ -12,16 +12,21 @@
 /** Number of crashes, as `countCrashes` counts them, after which a request is quarantined. */
 export const quarantineCrashCount = 2;
 /** Crashes in one failure domain within this time may have one cause outside the request, such as a power failure. */
-const simultaneousCrashesMs = 1_000;
+const simultaneousInDomainMs = 1_000;
+/** The same for crashes in several failure domains, which only a failure of the whole pool brings about. */
+const simultaneousMs = 200;
 
-/** Counts the crashes. Those in one failure domain at about the same time count once, unless the request ran alone. */
+/** Counts the crashes. Those at about the same time count once, unless the request ran alone. */
 export function countCrashes(crashes: readonly CountedCrash[]): number {
-    const lastCountedMs = new Map<string, number>();
+    const lastInDomainMs = new Map<string, number>();
+    let lastMs = -Infinity;
     let count = 0;
     for (const crash of [...crashes].sort((a, b) => a.atMs - b.atMs)) {
-        const lastMs = lastCountedMs.get(crash.failureDomain) ?? -Infinity;
-        if (!crash.isSolo && crash.atMs < lastMs + simultaneousCrashesMs) continue;
-        lastCountedMs.set(crash.failureDomain, crash.atMs);
+        const isSimultaneous = crash.atMs < lastMs + simultaneousMs ||
+            crash.atMs < (lastInDomainMs.get(crash.failureDomain) ?? -Infinity) + simultaneousInDomainMs;
+        if (isSimultaneous && !crash.isSolo) continue;
+        lastMs = crash.atMs;
+        lastInDomainMs.set(crash.failureDomain, crash.atMs);
         count++;
     }
     return count;
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -145,6 +145,22 @@
     t.end();
 });
 
+test("a request that ran on a whole pool when it failed at one moment is not quarantined", t => {
+    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    const crashes = [0, 1, 2, 3].map(server => ({
+        fingerprint: "popular",
+        requestId: `r${server}`,
+        backendServer: `s${server}`,
+        incarnation: "1",
+        failureDomain: `d${server}`,
+        isSolo: false,
+        ageMs: 500 - server * 30,
+    }));
+    plugin.commands!["quarantine.report"]!({ crashes }, createContext(10_000));
+    t.equal(listQuarantined().length, 0);
+    t.end();
+});
+
 function createOrderPlan(maxLoadsPerMinute: number) {
     const fleet = createFleetState(createAuditTrail().write, () => []);
     for (let index = 0; index < 3; index++) {
