Hold back prompts with a part that crashes backend servers

Cause: the quarantine knows whole requests, and no two of these are alike. Evidence: in 28 of 28 crashes a prompt with the same two parts was running of which no event had arrived. Class: suspicion held at one granularity only. Change: a report of a crash names the parts of the prompt (but the last) if no event had arrived in that attempt, because such a part crashes the server as the answer begins. Control holds the crashes of each part durably and publishes parts from the second crash on, so that any whole answer clears a sound part at once; a part is blamed from the third. kernel/partBlame.ts decides: a prompt is held back for a part whose crashes are not explained by accused parts that the prompt lacks, so that the first part, which is in every crash, is served meanwhile and cleared. Without control an entry uses what it saw itself. Ruled out: blaming all that broke off with a server (8 parts reach 16 of 28 crashes); blaming accounts (seven of them); clearing by answers of before the crash, because a part can be one that was sound until then.

--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -1,17 +1,11 @@
 /** The configuration: complete sets of objects, each validated as a whole and published under one version. */
 import { getDigest } from "../../kernel/digest.js";
-import type {
-    ChangeOutcome,
-    CommandInputs,
-    ConfigurationDelta,
-    ConfigurationView,
-    Problem,
-    QuarantineView,
-} from "../../kernel/messages.js";
+import type { ChangeOutcome, CommandInputs, ConfigurationDelta, ConfigurationView, Problem } from "../../kernel/messages.js";
 import { createObjectIndex, getObjectKey, getSetDigest } from "../../kernel/objects.js";
 import type { ConfigurationObject, ObjectIndex } from "../../kernel/objects.js";
 import type { ApplyContext, ControlPlugin, ObjectKind, ObjectSet, Registry } from "../../kernel/registry.js";
 import type { AuditWriter } from "./audit.js";
+import type { PublishedQuarantine } from "./quarantine.js";
 
 /** The plug-in, and the state that the other plug-ins read. */
 export interface Configuration {
@@ -27,8 +21,7 @@
 export interface ConfigurationOptions {
     readonly registry: Pick<Registry, "getObjectKind">;
     readonly audit: AuditWriter;
-    readonly listQuarantined: () => readonly QuarantineView[];
-    readonly listSuspects: () => readonly string[];
+    readonly getQuarantine: () => PublishedQuarantine;
     /** Called for each set that is put into force, while its log entry is applied. */
     readonly onActivated?: (objects: ObjectIndex) => void;
 }
@@ -196,7 +189,7 @@
     }
 
     function getView(): ConfigurationView {
-        return { version, digest, objects, quarantined: options.listQuarantined(), suspects: options.listSuspects() };
+        return { version, digest, objects, ...options.getQuarantine() };
     }
 
     function getDelta(sinceVersion: number): ConfigurationDelta | undefined {
@@ -210,7 +203,7 @@
         const changed = objects.filter(object => keys.has(getObjectKey(object)));
         const presentKeys = new Set(changed.map(getObjectKey));
         const removed = [...keys].filter(key => !presentKeys.has(key));
-        return { baseVersion, version, digest, changed, removed, quarantined: options.listQuarantined(), suspects: options.listSuspects() };
+        return { baseVersion, version, digest, changed, removed, ...options.getQuarantine() };
     }
 
     function recordAppliedChange(changeId: string, change: AppliedChange): void {
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -47,8 +47,7 @@
     const configuration = createConfiguration({
         registry,
         audit: audit.write,
-        listQuarantined: quarantine.listQuarantined,
-        listSuspects: quarantine.listSuspects,
+        getQuarantine: quarantine.getPublished,
         onActivated: objects => setPrepaid(objects),
     });
     const budgets = createBudgets({
@@ -79,7 +78,8 @@
         register(plugin);
     }
     let revision = 0;
-    let publishedKey = getPublishedKey();
+    let publishedVersion = configuration.getVersion();
+    let publishedQuarantine = quarantine.getPublished();
     let entriesIndex = 0;
     let entriesKey = "";
     register({
@@ -98,7 +98,8 @@
                 const saved = data as { revision: number; entriesIndex: number; };
                 revision = saved.revision;
                 entriesIndex = saved.entriesIndex;
-                publishedKey = getPublishedKey();
+                publishedVersion = configuration.getVersion();
+                publishedQuarantine = quarantine.getPublished();
                 entriesKey = getEntriesKey();
             },
         }],
@@ -111,9 +112,9 @@
         getDelta: configuration.getDelta,
         getRevision: () => revision,
         onApplied(index) {
-            const key = getPublishedKey();
-            if (key !== publishedKey) {
-                publishedKey = key;
+            if (configuration.getVersion() !== publishedVersion || quarantine.getPublished() !== publishedQuarantine) {
+                publishedVersion = configuration.getVersion();
+                publishedQuarantine = quarantine.getPublished();
                 revision = index;
             }
             const newEntriesKey = getEntriesKey();
@@ -151,11 +152,6 @@
             .map(({ vm, failureDomain, incarnation, address }) => ({ vm, failureDomain, incarnation, address }));
     }
 
-    function getPublishedKey(): string {
-        const fingerprints = quarantine.listQuarantined().map(view => view.fingerprint);
-        return `${configuration.getVersion()} ${fingerprints.join(" ")} / ${quarantine.listSuspects().join(" ")}`;
-    }
-
     function getEntriesKey(): string {
         return listEntries().map(entry => entry.incarnation).join(" ");
     }
--- a/src/control/plugins/quarantine.ts
+++ b/src/control/plugins/quarantine.ts
@@ -3,16 +3,26 @@
  * is rejected by the whole fleet until its record expires. Simultaneous crashes in one failure domain count as one.
  */
 import { countCrashes, quarantineCrashCount } from "../../kernel/crashCount.js";
-import type { CrashReport, QuarantineView, Suspicion } from "../../kernel/messages.js";
+import { getDigest } from "../../kernel/digest.js";
+import type { CrashReport, QuarantineView, SuspectPartView, Suspicion } from "../../kernel/messages.js";
 import type { ControlPlugin } from "../../kernel/registry.js";
 import type { AuditWriter } from "./audit.js";
+import { createSuspectPartTable } from "./suspectParts.js";
 
-/** The plug-in, and the list that the configuration publishes. */
+/** What the configuration publishes to the entries. */
+export interface PublishedQuarantine {
+    readonly quarantined: readonly QuarantineView[];
+    /** Fingerprints with crashes that are too few for a quarantine. */
+    readonly suspects: readonly string[];
+    /** Parts of prompts that may crash backend servers. */
+    readonly suspectParts: readonly SuspectPartView[];
+}
+
+/** The plug-in, and what the configuration publishes of it. */
 export interface Quarantine {
     readonly plugin: ControlPlugin;
-    listQuarantined(): readonly QuarantineView[];
-    /** Fingerprints with crashes that are too few for a quarantine. */
-    listSuspects(): readonly string[];
+    /** Returns the same object until it changes. */
+    getPublished(): PublishedQuarantine;
 }
 
 interface Crash {
@@ -32,23 +42,28 @@
 const quarantineMs = 3_600_000;
 /** Limits the size of snapshots and of what is published. */
 const maxSuspects = 2_000;
+const maxPublishedSuspects = 200;
 
 /** Creates the quarantine plug-in. */
 export function createQuarantine(audit: AuditWriter): Quarantine {
     const suspects = new Map<string, Suspect>();
+    const parts = createSuspectPartTable();
+    let published = createPublished();
 
     return {
-        listQuarantined: () => [...suspects.values()].map(createView).filter(view => view.suspicion === "quarantined"),
-        listSuspects: () => [...suspects.values()].filter(item => getSuspicion(item) === "suspect").map(item => item.fingerprint),
+        getPublished: () => published,
         plugin: {
             name: "quarantine",
             commands: {
                 "quarantine.report": ({ crashes }, context) => {
                     deleteExpiredSuspects(context.nowMs);
+                    parts.deleteExpired(context.nowMs);
+                    for (const crash of crashes) parts.record(crash, context.nowMs);
                     for (const crash of crashes) addCrashToSuspect(crash, context.nowMs);
                     const suspicions = Object.fromEntries(
                         crashes.map(crash => [crash.fingerprint, getSuspicion(suspects.get(crash.fingerprint))]),
                     );
+                    publish();
                     for (const [fingerprint, suspicion] of Object.entries(suspicions)) {
                         if (suspicion !== "quarantined") continue;
                         audit(context, {
@@ -61,27 +76,50 @@
                     }
                     return { suspicions };
                 },
-                "quarantine.exonerate": ({ fingerprint }) => ({ isKnown: suspects.delete(fingerprint) }),
+                "quarantine.exonerate": ({ fingerprint }) => publishAfter(suspects.delete(fingerprint)),
+                "quarantine.exonerateParts": ({ partIds }) => publishAfter(parts.clear(partIds)),
                 "quarantine.clear": ({ fingerprint, actor }, context) => {
-                    const isKnown = suspects.delete(fingerprint);
+                    const { isKnown } = publishAfter(suspects.delete(fingerprint) || parts.clear([fingerprint]));
                     const outcome = isKnown ? "accepted" : "unknown";
                     audit(context, { actor, action: "clearQuarantine", outcome, detail: fingerprint, content: fingerprint });
                     return { isKnown };
                 },
             },
-            queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView) }) },
+            queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView), parts: parts.save() }) },
             sections: [{
                 name: "quarantine",
-                save: () => ({ suspects: [...suspects.values()] }),
+                save: () => ({ suspects: [...suspects.values()], parts: parts.save() }),
                 load(data) {
-                    const saved = data as { suspects: Suspect[]; };
+                    const saved = data as { suspects: Suspect[]; parts?: SuspectPartView[]; };
                     suspects.clear();
                     for (const suspect of saved.suspects) suspects.set(suspect.fingerprint, suspect);
+                    parts.load(saved.parts ?? []);
+                    publish();
                 },
             }],
         },
     };
 
+    function createPublished(): PublishedQuarantine {
+        const views = [...suspects.values()].map(createView);
+        return {
+            quarantined: views.filter(view => view.suspicion === "quarantined"),
+            suspects: views.filter(view => view.suspicion === "suspect").map(view => view.fingerprint).slice(-maxPublishedSuspects),
+            suspectParts: parts.listPublished(),
+        };
+    }
+
+    // Entries are only told of what has changed for them.
+    function publish(): void {
+        const changed = createPublished();
+        if (getDigest(changed) !== getDigest(published)) published = changed;
+    }
+
+    function publishAfter(isKnown: boolean): { readonly isKnown: boolean; } {
+        if (isKnown) publish();
+        return { isKnown };
+    }
+
     function addCrashToSuspect(report: CrashReport, nowMs: number): void {
         const { fingerprint, backendServer, incarnation, failureDomain, isSolo, ageMs = 0 } = report;
         const knownCrashes = suspects.get(fingerprint)?.crashes ?? [];
--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -2,21 +2,25 @@
  * Holds back requests that crash the backend servers that run them. An entry that has seen a request fail because its backend
  * servers crashed reports the crashes to control, which quarantines the request in the whole fleet. While control cannot be
  * reached, the entry applies the same limit to the crashes that it has seen itself. A whole answer clears the request everywhere.
+ * The same is done for the parts of prompts, because a part may crash backend servers whatever else a request holds.
  */
 import type { ControlClient } from "../../kernel/controlClient.js";
 import { countCrashes, quarantineCrashCount } from "../../kernel/crashCount.js";
+import type { CountedCrash } from "../../kernel/crashCount.js";
 import { getSha256 } from "../../kernel/digest.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { BackendConnections, Host } from "../../kernel/host.js";
-import type { CrashReport, Suspicion } from "../../kernel/messages.js";
-import { createNotifier, sleep } from "../../kernel/tasks.js";
+import type { Suspicion } from "../../kernel/messages.js";
 import type { NodeConfiguration } from "../nodeConfiguration.js";
+import { createCrashReporter, getCrashId } from "./crashReporter.js";
+import type { Crash } from "./crashReporter.js";
+import { createSuspectParts } from "./suspectParts.js";
 import type { DirectCall } from "./types.js";
 
 /** Options of a guard. */
 export interface CrashGuardOptions {
     readonly control: ControlClient;
-    readonly configuration: Pick<NodeConfiguration, "getQuarantineLeftMs" | "hasCrashRecord">;
+    readonly configuration: Pick<NodeConfiguration, "getQuarantineLeftMs" | "hasCrashRecord" | "getSuspectParts">;
     readonly connections: Pick<BackendConnections, "canConnect">;
 }
 
@@ -29,30 +33,20 @@
     start(signal: AbortSignal): void;
 }
 
+/** How a request ended. `answered`: with a complete answer that reports an error. */
+export type WatchedEnd = "succeeded" | "answered" | "failed";
+
 /** Watches the attempts of one request. */
 export interface CrashWatch {
     /** Records that the connection to a backend server broke while the request ran, after it had delivered some events. */
     recordBreak(server: BackendServerRecord, events: number): void;
-    /** Ends the watch. `isAnswered` is true if a backend server answered the request to the end. */
-    end(isAnswered: boolean): void;
-}
-
-interface Crash {
-    readonly requestId: string;
-    readonly fingerprint: string;
-    readonly backendServer: string;
-    /** Start time of the incarnation that crashed. */
-    readonly bornMs: number;
-    readonly failureDomain: string;
-    readonly atMs: number;
-    /** The request shares the backend server with others. */
-    readonly isSolo: false;
+    end(end: WatchedEnd): void;
 }
 
 /** What an entry itself holds against a request. */
 interface OwnSuspect {
     /** Crashes that control has not confirmed yet. */
-    readonly crashes: readonly Crash[];
+    readonly crashes: readonly CountedCrash[];
     /** True when control has confirmed the quarantine, but may not have published it here yet. */
     readonly isConfirmed: boolean;
     readonly expiresAtMs: number;
@@ -64,33 +58,44 @@
 const publicationMs = 5_000;
 const maxOwnSuspects = 1_000;
 const maxOwnCrashes = 8;
-const maxUnreported = 1_000;
-const maxCrashesPerReport = 200;
-const reportTimeoutMs = 2_000;
-const reportRetryMs = 100;
+const clearTimeoutMs = 2_000;
+/** Long enough that no two requests share one, and short because all suspects are published to all entries. */
+const fingerprintLength = 24;
 
 /** Returns a digest that is equal for all attempts of the same request, whichever attempt id they carry. */
 export function getFingerprint(call: Pick<DirectCall, "head" | "request" | "account">): string {
     const { head, request, account } = call;
-    return getSha256([request.method, head.host, request.path, account?.name ?? "", getSha256(request.body)].join("\n"));
+    const text = [request.method, head.host, request.path, account?.name ?? "", getSha256(request.body)].join("\n");
+    return getSha256(text).slice(0, fingerprintLength);
 }
 
 /** Creates a guard that has seen no crash. */
 export function createCrashGuard(host: Host, options: CrashGuardOptions): CrashGuard {
     const { control, configuration, connections } = options;
     const log = host.createLogger("crashGuard");
-    const reportRequested = createNotifier(host.timers);
+    const reporter = createCrashReporter(host, { control, onConfirmed: adoptSuspicions });
+    const suspectParts = createSuspectParts({
+        clock: host.clock,
+        controlTime: control.time,
+        configuration,
+        ownSuspicionMs: ownQuarantineMs,
+        publicationMs,
+    });
     /** By fingerprint, in the order of the last change. */
     const ownSuspects = new Map<string, OwnSuspect>();
+    /** Fingerprints and parts that control is being told to clear. */
     const clearing = new Set<string>();
-    let unreported: readonly Crash[] = [];
 
-    return { getHeldBackMs, watch, start: signal => void reportInBackground(signal) };
+    return { getHeldBackMs, watch, start: reporter.start };
 
     function getHeldBackMs(call: DirectCall): number | undefined {
-        if (!isUnderSuspicion(call.fingerprint)) return undefined;
+        return getQuarantineLeftMs(call.fingerprint) ?? suspectParts.getHeldBackMs(listSharedParts(call));
+    }
+
+    function getQuarantineLeftMs(fingerprint: string): number | undefined {
+        if (!isUnderSuspicion(fingerprint)) return undefined;
         const controlTimeMs = Math.min(control.time.getUpperBoundMs(), Number.MAX_VALUE);
-        return configuration.getQuarantineLeftMs(call.fingerprint, controlTimeMs) ?? getOwnQuarantineLeftMs(call.fingerprint);
+        return configuration.getQuarantineLeftMs(fingerprint, controlTimeMs) ?? getOwnQuarantineLeftMs(fingerprint);
     }
 
     function isUnderSuspicion(fingerprint: string): boolean {
@@ -108,9 +113,10 @@
         const breaks: Promise<Crash | undefined>[] = [];
         return {
             recordBreak: (server, events) => void breaks.push(confirmCrash(call, server, events)),
-            end(isAnswered) {
-                if (isAnswered) clear(call.fingerprint);
+            end(end) {
+                if (end !== "failed") clearRequest(call.fingerprint);
                 else if (breaks.length > 0) void recordCrashes(breaks);
+                if (end === "succeeded") clearParts(listSharedParts(call));
             },
         };
     }
@@ -129,21 +135,25 @@
             promptParts: call.head.promptParts.map(part => part.partId).join(" "),
         });
         if (isAlive) return undefined;
+        // A part crashes a backend server when the answer begins, so an answer that was under way is no evidence.
+        const partIds = events === 0 ? listSharedParts(call) : [];
         const { fingerprint, head: { requestId } } = call;
-        return { requestId, fingerprint, backendServer, bornMs, failureDomain, atMs, isSolo: false };
+        return { requestId, fingerprint, backendServer, bornMs, failureDomain, atMs, partIds };
     }
 
     async function recordCrashes(breaks: readonly Promise<Crash | undefined>[]): Promise<void> {
         const crashes = (await Promise.all(breaks)).filter(crash => crash !== undefined);
-        for (const crash of crashes) addOwnCrash(crash);
-        unreported = [...unreported, ...crashes].slice(-maxUnreported);
-        if (crashes.length > 0) reportRequested.notify();
+        for (const crash of crashes) {
+            const counted = { failureDomain: crash.failureDomain, atMs: crash.atMs, isSolo: false };
+            addOwnCrash(crash.fingerprint, counted);
+            suspectParts.add(crash.partIds, { ...counted, crashId: getCrashId(crash) });
+        }
+        reporter.add(crashes);
     }
 
-    function addOwnCrash(crash: Crash): void {
-        const known = ownSuspects.get(crash.fingerprint);
-        const crashes = [...known?.crashes ?? [], crash].slice(-maxOwnCrashes);
-        setOwnSuspect(crash.fingerprint, { crashes, isConfirmed: false, expiresAtMs: host.clock.nowMs() + ownQuarantineMs });
+    function addOwnCrash(fingerprint: string, crash: CountedCrash): void {
+        const crashes = [...ownSuspects.get(fingerprint)?.crashes ?? [], crash].slice(-maxOwnCrashes);
+        setOwnSuspect(fingerprint, { crashes, isConfirmed: false, expiresAtMs: host.clock.nowMs() + ownQuarantineMs });
     }
 
     function setOwnSuspect(fingerprint: string, suspect: OwnSuspect): void {
@@ -152,53 +162,46 @@
         if (ownSuspects.size > maxOwnSuspects) ownSuspects.delete(ownSuspects.keys().next().value!);
     }
 
-    async function reportInBackground(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted) {
-            const batch = unreported.slice(0, maxCrashesPerReport);
-            if (batch.length === 0) await reportRequested.wait(ownQuarantineMs);
-            else if (await report(batch)) unreported = unreported.filter(crash => !batch.includes(crash));
-            else await sleep(host.timers, reportRetryMs, signal);
-        }
-    }
-
-    // Control counts a crash of one incarnation once, so a report may be sent again.
-    async function report(crashes: readonly Crash[]): Promise<boolean> {
-        const nowMs = host.clock.nowMs();
-        const outcome = await control.submit("quarantine.report", { crashes: crashes.map(crash => toReport(crash, nowMs)) }, {
-            timeoutMs: reportTimeoutMs,
-        });
-        if (outcome.kind === "done") adoptSuspicions(outcome.result.suspicions);
-        if (outcome.kind === "rejected") log.error("Control rejected a report of crashes.", { detail: outcome.detail });
-        if (outcome.kind === "unreachable") log.warn("Crashes could not be reported to control.", { crashes: crashes.length });
-        return outcome.kind !== "unreachable";
-    }
-
-    // From now on control holds the crashes, of this entry and of others, and publishes whether the request may run.
-    function adoptSuspicions(suspicions: Readonly<Record<string, Suspicion>>): void {
+    // From now on control holds the crashes, of this entry and of others, and publishes what may run.
+    function adoptSuspicions(crashes: readonly Crash[], suspicions: Readonly<Record<string, Suspicion>>): void {
         const expiresAtMs = host.clock.nowMs() + publicationMs;
         for (const [fingerprint, suspicion] of Object.entries(suspicions)) {
             if (suspicion === "quarantined") setOwnSuspect(fingerprint, { crashes: [], isConfirmed: true, expiresAtMs });
             else ownSuspects.delete(fingerprint);
         }
+        suspectParts.confirm(new Set(crashes.map(getCrashId)));
     }
 
-    function clear(fingerprint: string): void {
+    function clearRequest(fingerprint: string): void {
         if (!isUnderSuspicion(fingerprint)) return;
         const isKnownToControl = configuration.hasCrashRecord(fingerprint) || ownSuspects.get(fingerprint)?.isConfirmed === true;
         ownSuspects.delete(fingerprint);
-        unreported = unreported.filter(crash => crash.fingerprint !== fingerprint);
-        if (isKnownToControl && !clearing.has(fingerprint)) void clearAtControl(fingerprint);
+        reporter.drop(fingerprint);
+        if (isKnownToControl) void clearAtControl([fingerprint], () => submitClear("quarantine.exonerate", { fingerprint }));
+    }
+
+    function clearParts(partIds: readonly string[]): void {
+        const known = suspectParts.clear(partIds).filter(partId => !clearing.has(partId));
+        if (known.length > 0) void clearAtControl(known, () => submitClear("quarantine.exonerateParts", { partIds: [...known] }));
+    }
+
+    async function clearAtControl(keys: readonly string[], submit: () => Promise<string>): Promise<void> {
+        if (keys.some(key => clearing.has(key))) return;
+        for (const key of keys) clearing.add(key);
+        const outcome = await submit();
+        log.info("An answer cleared what was under suspicion.", { cleared: keys.join(" "), outcome });
+        for (const key of keys) clearing.delete(key);
     }
 
-    async function clearAtControl(fingerprint: string): Promise<void> {
-        clearing.add(fingerprint);
-        const outcome = await control.submit("quarantine.exonerate", { fingerprint }, { timeoutMs: reportTimeoutMs });
-        log.info("A request under suspicion was answered.", { fingerprint, outcome: outcome.kind });
-        clearing.delete(fingerprint);
+    async function submitClear<K extends "quarantine.exonerate" | "quarantine.exonerateParts">(
+        kind: K,
+        input: Parameters<typeof control.submit<K>>[1],
+    ): Promise<string> {
+        return (await control.submit(kind, input, { timeoutMs: clearTimeoutMs })).kind;
     }
 }
 
-function toReport(crash: Crash, nowMs: number): CrashReport {
-    const { requestId, fingerprint, backendServer, failureDomain, isSolo, bornMs, atMs } = crash;
-    return { requestId, fingerprint, backendServer, failureDomain, isSolo, incarnation: String(bornMs), ageMs: Math.max(0, nowMs - atMs) };
+/** The last part belongs to the request itself, which its fingerprint stands for. */
+function listSharedParts(call: DirectCall): readonly string[] {
+    return call.head.promptParts.slice(0, -1).map(part => part.partId);
 }
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -107,7 +107,9 @@
         const placement = choosePlacementForCall();
         if (placement === undefined) break;
         const outcome = await makeAttempt(placement);
-        if (outcome.kind !== "failed") crashWatch.end(true);
+        if (outcome.kind !== "failed") {
+            crashWatch.end(outcome.kind === "streamed" || outcome.answer.status < 300 ? "succeeded" : "answered");
+        }
         if (outcome.kind === "streamed") {
             response.end();
             return createResult(undefined);
@@ -120,7 +122,7 @@
         else progress.verdict = outcome.verdict;
         if (!mayRetry()) break;
     }
-    crashWatch.end(progress.failedAnswer !== undefined);
+    crashWatch.end(progress.failedAnswer === undefined ? "failed" : "answered");
     if (progress.failedAnswer !== undefined && !response.hasStarted) return writeAnswer(progress.failedAnswer);
     if (response.hasStarted) response.abort();
     return createResult(toFinalVerdict());
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -3,7 +3,7 @@
 import { assert } from "../kernel/debug.js";
 import { getSha256 } from "../kernel/digest.js";
 import type { Host } from "../kernel/host.js";
-import type { ConfigurationDelta, ConfigurationView, Suspicion } from "../kernel/messages.js";
+import type { ConfigurationDelta, ConfigurationView, SuspectPartView, Suspicion } from "../kernel/messages.js";
 import { createObjectIndex, getObjectKey, getSetDigest } from "../kernel/objects.js";
 import type { ClientAccountObject, ConfigurationObject, ObjectIndex, RouteObject } from "../kernel/objects.js";
 import { getErrorText, runPeriodically, sleep } from "../kernel/tasks.js";
@@ -23,6 +23,8 @@
     getQuarantineLeftMs(fingerprint: string, controlTimeMs: number): number | undefined;
     /** True if control holds crashes against the fingerprint, whether or not it is quarantined. */
     hasCrashRecord(fingerprint: string): boolean;
+    /** Parts of prompts that may crash backend servers, by id. Times are in control time. */
+    getSuspectParts(): ReadonlyMap<string, SuspectPartView>;
     start(signal: AbortSignal): void;
 }
 
@@ -63,6 +65,7 @@
     let routesByService: ReadonlyMap<string, RouteObject> = new Map();
     let suspicions: ReadonlyMap<string, { readonly suspicion: Suspicion; readonly expiresAtMs: number; }> = new Map();
     let suspects: ReadonlySet<string> = new Set();
+    let suspectParts: ReadonlyMap<string, SuspectPartView> = new Map();
 
     return {
         get version() {
@@ -83,6 +86,7 @@
             return isQuarantined ? record.expiresAtMs - controlTimeMs : undefined;
         },
         hasCrashRecord: fingerprint => suspicions.has(fingerprint) || suspects.has(fingerprint),
+        getSuspectParts: () => suspectParts,
         start(signal) {
             void run(signal);
         },
@@ -136,13 +140,7 @@
             return;
         }
         revision = newRevision;
-        activate({
-            version: delta.version,
-            digest: delta.digest,
-            objects: merged,
-            quarantined: delta.quarantined,
-            suspects: delta.suspects,
-        });
+        activate({ ...delta, objects: merged });
     }
 
     // A control VM that lags behind may return an older configuration, which is ignored.
@@ -151,6 +149,7 @@
         if (view.version > version) activateObjects(view);
         suspicions = new Map(view.quarantined.map(item => [item.fingerprint, item]));
         suspects = new Set(view.suspects);
+        suspectParts = new Map(view.suspectParts?.map(part => [part.partId, part]));
         options.onChange?.();
     }
 
--- a/src/kernel/diagnostics.ts
+++ b/src/kernel/diagnostics.ts
@@ -43,7 +43,11 @@
     deadlineExceeded: { status: 504, title: "Deadline exceeded", text: "The deadline passed before the request ran." },
     outcomeUnknown: { status: 502, title: "Outcome unknown", text: "The request may have run. Its outcome is not known." },
     answerLost: { status: 502, title: "Answer lost", text: "The request ran, but its answer is no longer held." },
-    heldBack: { status: 503, title: "Held back", text: "Backend servers crashed while they ran this request, so it is held back." },
+    heldBack: {
+        status: 503,
+        title: "Held back",
+        text: "Backend servers crashed while they ran this request, or others with a part of its prompt.",
+    },
     quarantined: { status: 422, title: "Quarantined", text: "This request crashed several backend servers and is held back." },
     internalError: { status: 500, title: "Internal error", text: "The process failed before the request ran." },
 } as const satisfies Readonly<Record<string, Message>>;
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -4,6 +4,7 @@
  */
 import { z } from "zod";
 import type { MessageCode } from "./diagnostics.js";
+import type { PartCrash } from "./partBlame.js";
 import type { Verdict } from "./verdict.js";
 
 const boundedString = z.string().min(1).max(200);
@@ -166,6 +167,8 @@
     isSolo: z.boolean(),
     /** Time between the crash and the sending of the report. */
     ageMs: z.number().nonnegative().optional(),
+    /** Parts of the prompt that other prompts may share, if the answer had not begun. */
+    partIds: z.array(boundedString).max(200).optional(),
 }).readonly();
 /** Report of a backend server crash that a request may have caused. */
 export type CrashReport = z.infer<typeof crashReportSchema>;
@@ -173,6 +176,13 @@
 /** Quarantine state of a request fingerprint. */
 export type Suspicion = "clear" | "suspect" | "quarantined";
 
+/** Crashes held against one part of prompts. Times are in control time. */
+export interface SuspectPartView {
+    readonly partId: string;
+    readonly crashes: readonly PartCrash[];
+    readonly expiresAtMs: number;
+}
+
 /** Quarantine record of one request fingerprint. */
 export interface QuarantineView {
     readonly fingerprint: string;
@@ -246,6 +256,7 @@
     "fleet.drain": z.object({ backendServer: boundedString, isDraining: z.boolean(), actor: boundedString }),
     "quarantine.report": z.object({ crashes: z.array(crashReportSchema).max(10_000) }),
     "quarantine.exonerate": z.object({ fingerprint: boundedString }),
+    "quarantine.exonerateParts": z.object({ partIds: z.array(boundedString).max(200) }),
     "quarantine.clear": z.object({ fingerprint: boundedString, actor: boundedString }),
     "orders.plan": z.object({}),
     "orders.done": z.object({ orderId: z.number(), isDone: z.boolean() }),
@@ -277,6 +288,7 @@
     readonly "fleet.drain": { readonly isKnown: boolean; };
     readonly "quarantine.report": { readonly suspicions: Readonly<Record<string, Suspicion>>; };
     readonly "quarantine.exonerate": { readonly isKnown: boolean; };
+    readonly "quarantine.exonerateParts": { readonly isKnown: boolean; };
     readonly "quarantine.clear": { readonly isKnown: boolean; };
     readonly "orders.plan": { readonly planned: number; };
     readonly "orders.done": { readonly isKnown: boolean; };
@@ -314,7 +326,7 @@
     readonly "leases.list": { readonly leases: readonly LeaseView[]; };
     readonly "audit.since": { readonly records: readonly AuditRecord[]; };
     readonly "fleet.list": { readonly agents: readonly FleetAgent[]; readonly entries: readonly EntryAnnouncement[]; };
-    readonly "quarantine.list": { readonly fingerprints: readonly QuarantineView[]; };
+    readonly "quarantine.list": { readonly fingerprints: readonly QuarantineView[]; readonly parts: readonly SuspectPartView[]; };
     readonly "claims.find": { readonly claim?: Claim; };
     readonly "orders.for": { readonly epoch: number; readonly orders: readonly EngineOrder[]; };
     readonly "control.status": { readonly version: number; readonly appliedIndex: number; readonly controlTimeMs: number; };
@@ -335,6 +347,8 @@
     readonly quarantined: readonly QuarantineView[];
     /** Fingerprints with crashes that are too few for a quarantine. Absent in replies of earlier versions. */
     readonly suspects?: readonly string[];
+    /** Parts of prompts that may crash backend servers. Absent in replies of earlier versions. */
+    readonly suspectParts?: readonly SuspectPartView[];
 }
 
 /** Difference between two versions of the configuration. The digest is that of the full set at the new version. */
@@ -347,6 +361,7 @@
     readonly removed: readonly string[];
     readonly quarantined: readonly QuarantineView[];
     readonly suspects?: readonly string[];
+    readonly suspectParts?: readonly SuspectPartView[];
 }
 
 /** One lease, as reported to operators. */
--- /dev/null
+++ b/src/kernel/partBlame.ts
@@ -0,0 +1,37 @@
+/** Decides whether a prompt contains a part that crashes backend servers. Sound parts crash together with it and are cleared by answers. */
+import { countCrashes } from "./crashCount.js";
+import type { CountedCrash } from "./crashCount.js";
+
+/** A crash that was attributed to a part of the prompt that was running. */
+export interface PartCrash extends CountedCrash {
+    /** Incarnation of the backend server that crashed. */
+    readonly crashId: string;
+}
+
+/** Crashes of each suspected part since an answer last carried it. */
+export type SuspectParts = ReadonlyMap<string, readonly PartCrash[]>;
+
+/** Number of crashes, as `countCrashes` counts them, from which a part can be blamed. */
+export const blameCrashCount = 3;
+/** Number of crashes from which the entries are told of a part, so that answers can clear it before it is blamed. */
+export const publishedCrashCount = 2;
+/** A part is blamed if at least this many of its crashes are not explained by parts that the prompt does not contain. */
+const unexplainedCrashCount = 2;
+
+/**
+ * Returns the part of a prompt that is to blame for crashes, if any. A prompt that contains only some of the parts that always crashed
+ * together is not held back: either it is answered, which clears them, or it shows that they crash by themselves.
+ */
+export function findBlamedPart(partIds: readonly string[], suspects: SuspectParts): string | undefined {
+    const accused = [...suspects].filter(([, crashes]) => countCrashes(crashes) >= blameCrashCount);
+    if (accused.length === 0) return undefined;
+    const explained = new Set(accused.filter(([partId]) => !partIds.includes(partId)).flatMap(([, crashes]) => crashes.map(getCrashId)));
+    const blamed = accused.find(([partId, crashes]) =>
+        partIds.includes(partId) && countCrashes(crashes.filter(crash => !explained.has(crash.crashId))) >= unexplainedCrashCount
+    );
+    return blamed?.[0];
+}
+
+function getCrashId(crash: PartCrash): string {
+    return crash.crashId;
+}
--- a/test/ledgerModel.test.ts
+++ b/test/ledgerModel.test.ts
@@ -276,8 +276,7 @@
             const configuration = createConfiguration({
                 registry,
                 audit: createAuditTrail().write,
-                listQuarantined: () => [],
-                listSuspects: () => [],
+                getQuarantine: () => ({ quarantined: [], suspects: [], suspectParts: [] }),
             });
             registry.register(createObjectKinds(() => false));
             registry.register(configuration.plugin);
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -111,13 +111,13 @@
 });
 
 test("two crashes quarantine a request, and the loss of a failure domain quarantines none", t => {
-    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    const { plugin, getPublished } = createQuarantine(createAuditTrail().write);
     const report = (fingerprint: string, server: number, failureDomain: string, nowMs: number, isSolo = false): Suspicion => {
         const crash = { fingerprint, requestId: "r", backendServer: `s${server}`, incarnation: `i${server}`, failureDomain, isSolo };
         return plugin.commands!["quarantine.report"]!({ crashes: [crash] }, createContext(nowMs)).suspicions[fingerprint]!;
     };
     for (let server = 0; server < 6; server++) report("innocent", server, "lost-domain", 100 + server);
-    t.equal(listQuarantined().length, 0);
+    t.equal(getPublished().quarantined.length, 0);
     t.equal(report("bad", 10, "d1", 60_000), "suspect");
     t.equal(report("bad", 10, "d1", 60_001), "suspect", "a crash reported by two entries counts once");
     t.equal(report("bad", 11, "d2", 90_000, true), "quarantined");
@@ -129,7 +129,7 @@
 });
 
 test("a request that crashes three backend servers of one failure domain, one after the other, is quarantined", t => {
-    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    const { plugin, getPublished } = createQuarantine(createAuditTrail().write);
     for (let server = 0; server < 3; server++) {
         const crash = {
             fingerprint: "bad",
@@ -141,12 +141,12 @@
         };
         plugin.commands!["quarantine.report"]!({ crashes: [crash] }, createContext(1_000 + server * 1_200));
     }
-    t.same(listQuarantined().map(view => view.fingerprint), ["bad"]);
+    t.same(getPublished().quarantined.map(view => view.fingerprint), ["bad"]);
     t.end();
 });
 
 test("a request that ran on a whole pool when it failed at one moment is not quarantined", t => {
-    const { plugin, listQuarantined } = createQuarantine(createAuditTrail().write);
+    const { plugin, getPublished } = createQuarantine(createAuditTrail().write);
     const crashes = [0, 1, 2, 3].map(server => ({
         fingerprint: "popular",
         requestId: `r${server}`,
@@ -157,7 +157,7 @@
         ageMs: 500 - server * 30,
     }));
     plugin.commands!["quarantine.report"]!({ crashes }, createContext(10_000));
-    t.equal(listQuarantined().length, 0);
+    t.equal(getPublished().quarantined.length, 0);
     t.end();
 });
 
