Treat a stream that ends inside an event as broken off

Cause: relayStream wrote the bytes after the last complete event, counted and billed them as an event, and ended the answer as complete. Change: such a stream is a failed attempt, so it is resumed, or ends visibly broken, and the partial event is never delivered. Tests: both fail before ("da" was delivered, the answer looked complete).

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -1,4 +1,5 @@
 /** Sends one dispatch to one backend server, relays the answer, and classifies failures. */
+import VError from "verror";
 import type { MessageCode } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import { NotSentError } from "../../kernel/host.js";
@@ -166,7 +167,7 @@
             if (framed.count > 0) await sink.write(framed.data, framed.count, framer.lastEventId);
             else if (framed.data.length > 0) await sink.write(framed.data, 0, framer.lastEventId);
         }
-        if (framer.rest.length > 0) await sink.write(framer.rest, 1, framer.lastEventId);
+        if (framer.isInsideEvent()) throw new VError("the stream ended inside an event");
         return { kind: "streamed" };
     }
 
--- a/src/entry/direct/eventFramer.ts
+++ b/src/entry/direct/eventFramer.ts
@@ -13,8 +13,8 @@
 export interface EventFramer {
     /** Throws when an event is larger than the limit. */
     push(chunk: Uint8Array): FramedEvents;
-    /** Bytes after the last complete event. */
-    readonly rest: Uint8Array;
+    /** True if an event has begun that is not complete. */
+    isInsideEvent(): boolean;
     readonly lastEventId: string | undefined;
 }
 
@@ -57,9 +57,7 @@
             parser.feed(complete.toString("utf8"));
             return { data: complete, count };
         },
-        get rest() {
-            return Buffer.concat(restChunks);
-        },
+        isInsideEvent: () => restChunks.some(chunk => chunk.some(byte => byte !== lineFeed && byte !== carriageReturn)),
         get lastEventId() {
             return eventId;
         },
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -285,3 +285,34 @@
     }
     t.same(statuses.filter(status => status !== 200), []);
 });
+
+test("a stream that ends inside an event with its connection is resumed at another server", async t => {
+    const fleet = await createDirectFleet(34);
+    let isFirst = true;
+    for (const server of fleet.servers) {
+        server.behavior = async (request, response) => {
+            if (!isFirst) return sendCompleteAnswer(request, response, server);
+            isFirst = false;
+            response.start(200, createSealHeaders(request), true);
+            await response.write(Buffer.from("id: 1\ndata: piece 1\n\nid: 2\nda"));
+            response.end();
+        };
+    }
+    const result = await fleet.simulation.runUntil(fleet.call(0, { path: "/resume/1", id: "a", tokens: "10,10" }));
+    t.equal(result.text, [1, 2, 3].map(id => `id: ${id}\ndata: piece ${id}\n\n`).join(""));
+    t.ok(result.isComplete);
+});
+
+test("a stream that ends inside an event and cannot be resumed ends visibly broken, without the partial event", async t => {
+    const fleet = await createDirectFleet(35);
+    for (const server of fleet.servers) {
+        server.behavior = async (request, response) => {
+            response.start(200, createSealHeaders(request), true);
+            await response.write(Buffer.from("id: 1\ndata: piece 1\n\nid: 2\nda"));
+            response.end();
+        };
+    }
+    const result = await fleet.simulation.runUntil(fleet.call(0, { path: "/stream/1", id: "a", tokens: "10,10" }));
+    t.equal(result.text, "id: 1\ndata: piece 1\n\n");
+    t.notOk(result.isComplete);
+});
