Reset the connection of a close-delimited answer that is broken off

What a caller saw: a stream without length and chunks that the entry broke off ended like a complete one, because destroying the socket sends the same end of data as the end of the body. Change: such an answer ends with a reset. Test on real sockets: no error at the caller before, a reset now. Class: an early end that looks complete (MIXED); answers with a length or chunks are not affected.

--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -273,11 +273,13 @@
 }
 
 function createResponse(outgoing: http.ServerResponse): HttpResponse {
+    let hasVerifiableEnd = true;
     return {
         get hasStarted() {
             return outgoing.headersSent;
         },
         start(status, headers, isCloseDelimited = false) {
+            hasVerifiableEnd = !isCloseDelimited;
             if (isCloseDelimited) {
                 outgoing.removeHeader("transfer-encoding");
                 outgoing.shouldKeepAlive = false;
@@ -298,7 +300,11 @@
             });
         },
         end: () => void outgoing.end(),
-        abort: () => void outgoing.destroy(),
+        abort() {
+            // Only a reset shows the client of a close-delimited body that the end is not that of the body.
+            if (!hasVerifiableEnd) outgoing.socket?.resetAndDestroy();
+            outgoing.destroy();
+        },
     };
 }
 
