--- a/src/control/plugins/quarantine.ts
+++ b/src/control/plugins/quarantine.ts
@@ -85,7 +85,7 @@
                     return { isKnown };
                 },
             },
-            queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView), parts: parts.save() }) },
+            queries: { "quarantine.list": () => ({ fingerprints: [...suspects.values()].map(createView), parts: parts.listAll() }) },
             sections: [{
                 name: "quarantine",
                 save: () => ({ suspects: [...suspects.values()], parts: parts.save() }),
--- a/src/control/plugins/suspectParts.ts
+++ b/src/control/plugins/suspectParts.ts
@@ -1,7 +1,7 @@
 /** Parts of prompts that were being answered when backend servers crashed. Part of the quarantine plug-in. */
 import { countCrashes } from "../../kernel/crashCount.js";
-import type { CrashReport, SuspectPartView } from "../../kernel/messages.js";
-import { publishedCrashCount } from "../../kernel/partBlame.js";
+import type { CrashReport, SuspectPartView, Suspicion } from "../../kernel/messages.js";
+import { blameCrashCount, publishedCrashCount } from "../../kernel/partBlame.js";
 
 /** The table of suspected parts. */
 export interface SuspectPartTable {
@@ -12,6 +12,8 @@
     deleteExpired(nowMs: number): void;
     /** Parts with enough crashes to be told to the entries. */
     listPublished(): readonly SuspectPartView[];
+    /** All parts, with what the entries make of their crashes. */
+    listAll(): readonly (SuspectPartView & { readonly suspicion: Suspicion; })[];
     save(): readonly SuspectPartView[];
     load(saved: readonly SuspectPartView[]): void;
 }
@@ -36,6 +38,7 @@
             }
         },
         listPublished: () => [...parts.values()].filter(part => countCrashes(part.crashes) >= publishedCrashCount),
+        listAll: () => [...parts.values()].map(part => ({ ...part, suspicion: getSuspicion(part) })),
         save: () => [...parts.values()],
         load(saved) {
             parts.clear();
@@ -55,3 +58,7 @@
         if (parts.size > maxParts) parts.delete(parts.keys().next().value!);
     }
 }
+
+function getSuspicion(part: SuspectPartView): Suspicion {
+    return countCrashes(part.crashes) >= blameCrashCount ? "quarantined" : "suspect";
+}
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -326,7 +326,10 @@
     readonly "leases.list": { readonly leases: readonly LeaseView[]; };
     readonly "audit.since": { readonly records: readonly AuditRecord[]; };
     readonly "fleet.list": { readonly agents: readonly FleetAgent[]; readonly entries: readonly EntryAnnouncement[]; };
-    readonly "quarantine.list": { readonly fingerprints: readonly QuarantineView[]; readonly parts: readonly SuspectPartView[]; };
+    readonly "quarantine.list": {
+        readonly fingerprints: readonly QuarantineView[];
+        readonly parts: readonly (SuspectPartView & { readonly suspicion: Suspicion; })[];
+    };
     readonly "claims.find": { readonly claim?: Claim; };
     readonly "orders.for": { readonly epoch: number; readonly orders: readonly EngineOrder[]; };
     readonly "control.status": { readonly version: number; readonly appliedIndex: number; readonly controlTimeMs: number; };
--- a/src/operator/stateCommands.ts
+++ b/src/operator/stateCommands.ts
@@ -232,29 +232,32 @@
     return Math.max(0, time);
 }
 
-/** Lists request fingerprints that are suspected of crashing backend servers, or quarantined. */
+/** Lists request fingerprints and prompt parts that are suspected of crashing backend servers, or quarantined. */
 export class QuarantineListCommand extends OperatorCommand {
     static override paths = [["quarantine", "list"], ["quarantine"]];
     static override usage = Command.Usage({
         category: "Fleet",
-        description: "List the fingerprints of requests that crashed backend servers.",
-        examples: [["List fingerprints", "lovagectl quarantine list"]],
+        description: "List the fingerprints of requests, and the parts of prompts, that crashed backend servers.",
+        examples: [["List fingerprints and parts", "lovagectl quarantine list"]],
     });
 
     protected override async run(client: AdministrationClient): Promise<number> {
-        const { fingerprints } = await client.query("quarantine.list", {});
-        const rows = fingerprints.map(record => [record.fingerprint, record.suspicion, record.crashes]);
-        this.print({ fingerprints }, formatTable(["FINGERPRINT", "STATE", "CRASHES"], rows));
+        const { fingerprints, parts } = await client.query("quarantine.list", {});
+        const rows = [
+            ...fingerprints.map(record => ["request", record.fingerprint, record.suspicion, record.crashes]),
+            ...parts.map(part => ["part", part.partId, part.suspicion, part.crashes.length]),
+        ];
+        this.print({ fingerprints, parts }, formatTable(["KIND", "FINGERPRINT", "STATE", "CRASHES"], rows));
         return operatorExitCodes.ok;
     }
 }
 
-/** Removes a request fingerprint from quarantine. */
+/** Removes a request fingerprint or a prompt part from quarantine. */
 export class QuarantineClearCommand extends OperatorCommand {
     static override paths = [["quarantine", "clear"]];
     static override usage = Command.Usage({
         category: "Fleet",
-        description: "Remove a request fingerprint from quarantine, so that such requests run again.",
+        description: "Remove a request fingerprint or a prompt part from quarantine, so that such requests run again.",
         examples: [["Clear a fingerprint", "lovagectl quarantine clear FINGERPRINT"]],
     });
 
@@ -262,7 +265,7 @@
 
     protected override async run(client: AdministrationClient): Promise<number> {
         const result = await client.submit("quarantine.clear", { fingerprint: this.fingerprint });
-        this.print(result, result.isKnown ? "Cleared.\n" : "The fingerprint was not found.\n");
+        this.print(result, result.isKnown ? "Cleared.\n" : "The fingerprint or part was not found.\n");
         return result.isKnown ? operatorExitCodes.ok : operatorExitCodes.refused;
     }
 }
--- a/test/policies.test.ts
+++ b/test/policies.test.ts
@@ -161,6 +161,37 @@
     t.end();
 });
 
+test("an operator sees a prompt part that crashed backend servers and can clear it", t => {
+    const { plugin, getPublished } = createQuarantine(createAuditTrail().write);
+    const report = (server: number, nowMs: number) => {
+        const crash = { requestId: `r${server}`, backendServer: `s${server}`, incarnation: "1", failureDomain: "d", isSolo: false };
+        const crashes = [{ ...crash, fingerprint: `f${server}`, partIds: ["bad"] }];
+        plugin.commands!["quarantine.report"]!({ crashes }, createContext(nowMs));
+    };
+    report(1, 10_000);
+    t.same(getPublished().suspectParts, [], "one crash is not published");
+    report(2, 12_000);
+    report(3, 14_000);
+    t.match(getPublished().suspectParts, [{ partId: "bad", crashes: [{}, {}, {}] }]);
+    t.match(plugin.queries!["quarantine.list"]!({}, 15_000).parts, [{ partId: "bad", suspicion: "quarantined" }]);
+    t.ok(plugin.commands!["quarantine.clear"]!({ fingerprint: "bad", actor: "operator" }, createContext(16_000)).isKnown);
+    t.same(getPublished().suspectParts, []);
+    t.end();
+});
+
+test("a restored snapshot holds the crashes of requests and prompt parts", t => {
+    const { plugin } = createQuarantine(createAuditTrail().write);
+    const crash = { fingerprint: "f", requestId: "r", backendServer: "s", incarnation: "1", failureDomain: "d", isSolo: false };
+    for (const ageMs of [0, 2_000, 4_000]) {
+        const crashes = [{ ...crash, incarnation: String(ageMs), ageMs, partIds: ["bad"] }];
+        plugin.commands!["quarantine.report"]!({ crashes }, createContext(10_000));
+    }
+    const restored = createQuarantine(createAuditTrail().write);
+    restored.plugin.sections![0]!.load(JSON.parse(JSON.stringify(plugin.sections![0]!.save())));
+    t.match(restored.getPublished(), { quarantined: [{ fingerprint: "f" }], suspectParts: [{ partId: "bad" }] });
+    t.end();
+});
+
 function createOrderPlan(maxLoadsPerMinute: number) {
     const fleet = createFleetState(createAuditTrail().write, () => []);
     for (let index = 0; index < 3; index++) {
