--- a/src/operator/configurationCommands.ts
+++ b/src/operator/configurationCommands.ts
@@ -5,7 +5,7 @@
 import type { AdministrationClient } from "./client.js";
 import { diffObjects, readConfigurationFile } from "./configurationFile.js";
 import { OperatorCommand, operatorExitCodes } from "./operatorCommand.js";
-import { delay } from "./operatorHost.js";
+import { pollUntil } from "./operatorHost.js";
 import { formatTable } from "./table.js";
 
 const rolloutTimeoutMs = 5_000;
@@ -36,19 +36,23 @@
         const outcome = await client.submit("configuration.apply", { baseVersion, changeId, objects: [...objects] });
         this.print(toPrintedOutcome(outcome), formatOutcome(outcome));
         const isAccepted = outcome.outcome === "accepted" || outcome.outcome === "repeated";
-        if (isAccepted && this.shouldWait) await this.waitForRollout(client, outcome.version);
-        return isAccepted ? operatorExitCodes.ok : operatorExitCodes.refused;
+        if (!isAccepted) return operatorExitCodes.refused;
+        if (!this.shouldWait || await this.waitForRollout(client, outcome.version)) return operatorExitCodes.ok;
+        this.context.stderr.write("Some VMs have not applied the version yet. See lovagectl status.\n");
+        return operatorExitCodes.notInEffect;
     }
 
-    private async waitForRollout(client: AdministrationClient, version: number): Promise<void> {
-        for (let waitedMs = 0; waitedMs <= rolloutTimeoutMs; waitedMs += pollIntervalMs) {
-            const { vms } = await client.getStatus();
-            const laggingVms = vms.filter(vm => vm.versionInForce < version).map(vm => vm.vm);
-            this.context.stderr.write(`${vms.length - laggingVms.length} of ${vms.length} VMs have applied version ${version}.\n`);
-            if (laggingVms.length === 0) return;
-            await delay(pollIntervalMs);
-        }
-        this.context.stderr.write("Some VMs have not applied the version yet. See lovagectl status.\n");
+    private waitForRollout(client: AdministrationClient, version: number): Promise<boolean> {
+        return pollUntil(
+            async () => {
+                const { vms } = await client.getStatus();
+                const appliedCount = vms.filter(vm => vm.versionInForce >= version).length;
+                this.context.stderr.write(`${appliedCount} of ${vms.length} VMs have applied version ${version}.\n`);
+                return appliedCount === vms.length;
+            },
+            rolloutTimeoutMs,
+            pollIntervalMs,
+        );
     }
 }
 
--- a/src/operator/operatorCommand.ts
+++ b/src/operator/operatorCommand.ts
@@ -6,7 +6,14 @@
 import { ConfigurationFileError } from "./configurationFile.js";
 
 /** Exit codes of `lovagectl`. */
-export const operatorExitCodes = { ok: 0, refused: 1, usageError: 2, unreachable: 3 } as const;
+export const operatorExitCodes = {
+    ok: 0,
+    refused: 1,
+    usageError: 2,
+    unreachable: 3,
+    /** The change was accepted, but was not in effect when the wait for it ended. */
+    notInEffect: 4,
+} as const;
 
 /** Thrown when a flag or argument is missing or invalid. */
 export class CommandUsageError extends Error {
--- a/src/operator/operatorHost.ts
+++ b/src/operator/operatorHost.ts
@@ -6,7 +6,16 @@
     return Date.now();
 }
 
+/** Repeats the check until it returns true. Returns false if it has not done so within the timeout. */
+export async function pollUntil(check: () => Promise<boolean>, timeoutMs: number, intervalMs: number): Promise<boolean> {
+    for (let waitedMs = 0; waitedMs <= timeoutMs; waitedMs += intervalMs) {
+        if (await check()) return true;
+        await delay(intervalMs);
+    }
+    return false;
+}
+
 /** Waits the given time, in milliseconds. The promise resolves without a value when the time has passed. */
-export function delay(delayMs: number): Promise<void> {
+function delay(delayMs: number): Promise<void> {
     return sleep(delayMs);
 }
--- a/src/operator/stateCommands.ts
+++ b/src/operator/stateCommands.ts
@@ -3,7 +3,7 @@
 import type { BudgetView } from "../kernel/messages.js";
 import type { AdministrationClient } from "./client.js";
 import { CommandUsageError, OperatorCommand, operatorExitCodes } from "./operatorCommand.js";
-import { delay, getWallMs } from "./operatorHost.js";
+import { getWallMs, pollUntil } from "./operatorHost.js";
 import { formatTable } from "./table.js";
 
 const hourMs = 3_600_000;
@@ -161,18 +161,21 @@
             ? `${this.backendServer} ${isDraining ? "will receive no new requests after 3 s" : "receives requests again"}.\n`
             : `${this.backendServer} has not registered yet. The setting applies when it does.\n`;
         this.print({ backendServer: this.backendServer, isDraining, isKnown: result.isKnown }, text);
-        if (this.shouldWait && result.isKnown) await this.waitForDrain(client, isDraining);
-        return operatorExitCodes.ok;
+        const isInEffect = !this.shouldWait || !result.isKnown || await this.waitForDrain(client, isDraining);
+        return isInEffect ? operatorExitCodes.ok : operatorExitCodes.notInEffect;
     }
 
-    private async waitForDrain(client: AdministrationClient, isDraining: boolean): Promise<void> {
-        for (let waitedMs = 0; waitedMs < drainTimeoutMs; waitedMs += drainPollIntervalMs) {
-            const { agents } = await client.query("fleet.list", {});
-            const agent = agents.find(candidate => candidate.backendServer === this.backendServer);
-            this.context.stderr.write(`${this.backendServer}: ${agent?.isDraining === true ? "draining" : agent?.state ?? "gone"}\n`);
-            if (agent === undefined || agent.isDraining === isDraining) return;
-            await delay(drainPollIntervalMs);
-        }
+    private waitForDrain(client: AdministrationClient, isDraining: boolean): Promise<boolean> {
+        return pollUntil(
+            async () => {
+                const { agents } = await client.query("fleet.list", {});
+                const agent = agents.find(candidate => candidate.backendServer === this.backendServer);
+                this.context.stderr.write(`${this.backendServer}: ${agent?.isDraining === true ? "draining" : agent?.state ?? "gone"}\n`);
+                return agent === undefined || agent.isDraining === isDraining;
+            },
+            drainTimeoutMs,
+            drainPollIntervalMs,
+        );
     }
 }
 
