Keep reports of crashes within what control accepts, whatever ids a caller chose

Found while reading the diff: an attempt id or a prompt part of more than 200 characters, or more than 200 parts, made control reject the whole report, and with it the other crashes in it. The request itself then was never quarantined in the fleet. Change: the id is cut, and parts beyond the limits are left out. Test: the third arrival, at another entry, reached a server before, and is refused now.

--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -10,6 +10,7 @@
 import { getSha256 } from "../../kernel/digest.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { BackendConnections, Host } from "../../kernel/host.js";
+import { crashReportLimits } from "../../kernel/messages.js";
 import type { Suspicion } from "../../kernel/messages.js";
 import type { NodeConfiguration } from "../nodeConfiguration.js";
 import { createCrashReporter, getCrashId } from "./crashReporter.js";
@@ -201,7 +202,11 @@
     }
 }
 
-/** The last part belongs to the request itself, which its fingerprint stands for. */
+/**
+ * Lists the parts of the prompt that others may share. The last part belongs to the request itself, which its fingerprint stands for. Parts that a
+ * report to control has no room for are left out.
+ */
 function listSharedParts(call: DirectCall): readonly string[] {
-    return call.head.promptParts.slice(0, -1).map(part => part.partId);
+    const partIds = call.head.promptParts.slice(0, -1).map(part => part.partId);
+    return partIds.filter(partId => partId.length <= crashReportLimits.nameLength).slice(0, crashReportLimits.partIds);
 }
--- a/src/entry/direct/crashReporter.ts
+++ b/src/entry/direct/crashReporter.ts
@@ -1,6 +1,7 @@
 /** Reports crashes of backend servers to control's quarantine, in batches and until control has confirmed them. */
 import type { ControlClient } from "../../kernel/controlClient.js";
 import type { Host } from "../../kernel/host.js";
+import { crashReportLimits } from "../../kernel/messages.js";
 import type { CrashReport, Suspicion } from "../../kernel/messages.js";
 import { createNotifier, sleep } from "../../kernel/tasks.js";
 
@@ -82,7 +83,7 @@
 function toReport(crash: Crash, nowMs: number): CrashReport {
     const { requestId, fingerprint, backendServer, failureDomain, bornMs, atMs, partIds } = crash;
     return {
-        requestId,
+        requestId: requestId.slice(0, crashReportLimits.nameLength),
         fingerprint,
         backendServer,
         failureDomain,
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -157,6 +157,9 @@
     readonly detail: string;
 }
 
+/** Limits of the names in a crash report that a caller chooses. */
+export const crashReportLimits = { nameLength: 200, partIds: 200 } as const;
+
 /** Report of a backend server crash that a request may have caused. */
 export const crashReportSchema = z.object({
     fingerprint: boundedString,
@@ -168,7 +171,7 @@
     /** Time between the crash and the sending of the report. */
     ageMs: z.number().nonnegative().optional(),
     /** Parts of the prompt that other prompts may share, if the answer had not begun. */
-    partIds: z.array(boundedString).max(200).optional(),
+    partIds: z.array(boundedString).max(crashReportLimits.partIds).optional(),
 }).readonly();
 /** Report of a backend server crash that a request may have caused. */
 export type CrashReport = z.infer<typeof crashReportSchema>;
@@ -256,7 +259,7 @@
     "fleet.drain": z.object({ backendServer: boundedString, isDraining: z.boolean(), actor: boundedString }),
     "quarantine.report": z.object({ crashes: z.array(crashReportSchema).max(10_000) }),
     "quarantine.exonerate": z.object({ fingerprint: boundedString }),
-    "quarantine.exonerateParts": z.object({ partIds: z.array(boundedString).max(200) }),
+    "quarantine.exonerateParts": z.object({ partIds: z.array(boundedString).max(crashReportLimits.partIds) }),
     "quarantine.clear": z.object({ fingerprint: boundedString, actor: boundedString }),
     "orders.plan": z.object({}),
     "orders.done": z.object({ orderId: z.number(), isDone: z.boolean() }),
--- a/test/crashingRequests.test.ts
+++ b/test/crashingRequests.test.ts
@@ -88,6 +88,21 @@
     t.equal((await fleet.simulation.runUntil(fleet.call(0, { path: "/safe/1", id: "b" }))).status, 200);
 });
 
+test("a crashing request with long ids and many prompt parts is reported all the same", async t => {
+    const fleet = await createDirectFleet(66, { entries: 2, servers: 4 });
+    const { simulation } = fleet;
+    const crashes = crashOn(fleet, "/once/bad");
+    const prefix = [...Array(300).keys()].map(number => `part${number}:1`).join(",");
+    const headers = { "x-prompt-prefix": `${"long".repeat(100)}:1,${prefix}` };
+    for (let count = 0; count < 2; count++) {
+        await simulation.runUntil(fleet.call(0, { path: "/once/bad", id: `${"id".repeat(200)}${count}`, headers }));
+        await simulation.advance(1_500);
+    }
+    t.equal(crashes.length, 2);
+    t.equal((await simulation.runUntil(fleet.call(1, { path: "/once/bad", id: "b", headers }))).status, 503);
+    t.equal(crashes.length, 2);
+});
+
 test("a request that another entry answers after a crash is not held back after the next crash", async t => {
     const fleet = await createDirectFleet(63, { entries: 2, servers: 4 });
     const { simulation } = fleet;
