--- a/src/entry/direct/suspectParts.ts
+++ b/src/entry/direct/suspectParts.ts
@@ -29,7 +29,9 @@
 }
 
 interface OwnCrash {
+    /** With its time in control time, as in what control publishes. */
     readonly crash: PartCrash;
+    /** True once control holds the crash too. */
     readonly isConfirmed: boolean;
     /** Local time. */
     readonly expiresAtMs: number;
--- a/src/kernel/partBlame.ts
+++ b/src/kernel/partBlame.ts
@@ -9,7 +9,7 @@
 }
 
 /** Crashes of each suspected part since an answer last carried it. */
-export type SuspectParts = ReadonlyMap<string, readonly PartCrash[]>;
+export type CrashesByPart = ReadonlyMap<string, readonly PartCrash[]>;
 
 /** Number of crashes, as `countCrashes` counts them, from which a part is accused, and blamed if nothing else explains them. */
 export const blameCrashCount = 3;
@@ -20,7 +20,7 @@
  * Returns the part of a prompt that is to blame for crashes, if any. A prompt that contains only some of the parts that always crashed
  * together is not held back: either it is answered, which clears them, or it shows that they crash by themselves.
  */
-export function findBlamedPart(partIds: readonly string[], suspects: SuspectParts): string | undefined {
+export function findBlamedPart(partIds: readonly string[], suspects: CrashesByPart): string | undefined {
     const accused = partIds.filter(partId => countCrashes(suspects.get(partId) ?? []) >= blameCrashCount);
     if (accused.length === 0) return undefined;
     const absent = [...suspects].filter(([partId]) => !partIds.includes(partId));
