Explain a part's crashes by one other part, not by several together

Cause that fits, not traced in a record: with many crashes some sound suspected part was running at each of them, and together they explained all crashes of the part that caused them.

--- a/src/kernel/partBlame.ts
+++ b/src/kernel/partBlame.ts
@@ -23,11 +23,12 @@
 export function findBlamedPart(partIds: readonly string[], suspects: CrashesByPart): string | undefined {
     const accused = partIds.filter(partId => countCrashes(suspects.get(partId) ?? []) >= blameCrashCount);
     if (accused.length === 0) return undefined;
-    const absent = [...suspects].filter(([partId]) => !partIds.includes(partId));
-    const explained = new Set(absent.flatMap(([, crashes]) => isSuspect(crashes) ? crashes.map(crash => crash.crashId) : []));
-    return accused.find(partId => countCrashes(suspects.get(partId)!.filter(crash => !explained.has(crash.crashId))) >= blameCrashCount);
+    const absent = [...suspects].filter(([partId, crashes]) => !partIds.includes(partId) && countCrashes(crashes) >= publishedCrashCount);
+    const explanations = absent.map(([, crashes]) => new Set(crashes.map(crash => crash.crashId)));
+    return accused.find(partId => !explanations.some(explained => isExplained(suspects.get(partId)!, explained)));
 }
 
-function isSuspect(crashes: readonly PartCrash[]): boolean {
-    return countCrashes(crashes) >= publishedCrashCount;
+// One other part has to explain the crashes: many together explain those of any part, when servers that run many prompts crash often.
+function isExplained(crashes: readonly PartCrash[], explained: ReadonlySet<string>): boolean {
+    return countCrashes(crashes.filter(crash => !explained.has(crash.crashId))) < blameCrashCount;
 }
--- a/test/partBlame.test.ts
+++ b/test/partBlame.test.ts
@@ -40,6 +40,12 @@
     t.end();
 });
 
+test("a part is blamed although several sound parts together were running at each of its crashes", t => {
+    const sound = [[1, 2], [3, 4], [5, 6]].map((numbers, index) => [`sound${index}`, crashes(...numbers)] as const);
+    t.equal(findBlamedPart(["first", "bad"], new Map([["bad", crashes(1, 2, 3, 4, 5, 6)], ...sound])), "bad");
+    t.end();
+});
+
 test("crashes of a whole pool at one moment count once against a part", t => {
     const atOnce = [0, 1, 2, 3].map(number => ({ ...crash(number), atMs: 5_000 + number * 20 }));
     t.equal(findBlamedPart(["first"], new Map([["first", atOnce]])), undefined);
