Log why a leader steps down, how long a replay takes, and how long a reply of control was on its way

The logs could not tell the hypotheses apart: a held reply, a control VM that is busy, an entry that asks the wrong VM.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -203,13 +203,15 @@
             version: request.version,
             seenAtMs: host.clock.nowMs(),
         });
+        const receivedAtMs = host.clock.nowMs();
         const hasUpdate = () => state.getRevision() > request.revision || state.listRecalledBudgets(request.incarnation).length > 0;
         await waitUntil(host, stateChanged, hasUpdate, request.timeoutMs);
         const revision = state.getRevision();
         const recalledBudgets = state.listRecalledBudgets(request.incarnation);
         const { isConnected, membership } = replica.getStatus();
         const members = getVoters(membership).map(voter => voter.address);
-        const baseReply = { revision, recalledBudgets, isConnected, members };
+        const waitedMs = host.clock.nowMs() - receivedAtMs;
+        const baseReply = { revision, recalledBudgets, isConnected, members, waitedMs };
         if (revision <= request.revision) return baseReply;
         const delta = state.getDelta(request.version);
         return delta === undefined ? { ...baseReply, configuration: state.getConfiguration() } : { ...baseReply, delta };
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -93,6 +93,7 @@
         },
         async watch(request) {
             if (request.watcher !== undefined) watchers.addLocal(request.watcher, host.clock.nowMs());
+            const receivedAtMs = host.clock.nowMs();
             const since = request.incarnation === incarnation ? request.revision : 0;
             await waitUntil(host, tableChanged, () => table.revision > since, request.timeoutMs);
             const servers = table.listSince(since);
@@ -103,6 +104,7 @@
                 watchers: watchers.listPeersOf(request.watcher ?? "", host.clock.nowMs()),
                 watcherCount: watchers.count(host.clock.nowMs()),
                 isConnected: group.isConnected(),
+                waitedMs: host.clock.nowMs() - receivedAtMs,
             };
         },
         start: () =>
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -110,14 +110,14 @@
     }
 
     async function stepDownIfNewerTerm(term: number): Promise<void> {
-        if (term > core.getTerm()) await core.becomeFollower(term);
+        if (term > core.getTerm()) await core.becomeFollower(term, "newerTerm");
     }
 
     async function handleVoteRequest(request: VoteRequest): Promise<VoteReply> {
         const isLeaderKnown = state.role === "leader" || hasRecentLeader();
         if (state.hasDiskFailed || (isLeaderKnown && !request.isHandover)) return { term: core.getTerm(), isGranted: false };
         if (request.isPreVote) return { term: core.getTerm(), isGranted: request.term > core.getTerm() && isUpToDate(request) };
-        if (request.term > core.getTerm()) await core.becomeFollower(request.term);
+        if (request.term > core.getTerm()) await core.becomeFollower(request.term, "newerTerm");
         const { term, votedFor } = store.hardState;
         const mayVote = votedFor === undefined || votedFor === request.candidateId;
         if (request.term < term || !mayVote || !isUpToDate(request)) return { term, isGranted: false };
--- a/src/control/log/follower.ts
+++ b/src/control/log/follower.ts
@@ -25,7 +25,7 @@
     async function onAppend(request: AppendRequest): Promise<AppendReply> {
         const term = store.hardState.term;
         if (request.term < term) return { term, isAppended: false, index: store.lastIndex };
-        if (request.term > term || state.role !== "follower") await core.becomeFollower(request.term);
+        if (request.term > term || state.role !== "follower") await core.becomeFollower(request.term, "newerTerm");
         core.setLeader(request.leaderId, request.leaderAddress);
         state.lastLeaderContactMs = host.clock.nowMs();
         const retryIndex = findRetryIndex(request);
@@ -76,7 +76,7 @@
     async function onSnapshot(chunk: SnapshotChunk): Promise<SnapshotReply> {
         const term = store.hardState.term;
         if (chunk.term < term) return { term, receivedBytes: 0, isInstalled: false };
-        if (chunk.term > term || state.role !== "follower") await core.becomeFollower(chunk.term);
+        if (chunk.term > term || state.role !== "follower") await core.becomeFollower(chunk.term, "newerTerm");
         core.setLeader(chunk.leaderId, chunk.leaderAddress);
         state.lastLeaderContactMs = host.clock.nowMs();
         if (chunk.index <= state.commitIndex) return { term: chunk.term, receivedBytes: chunk.totalBytes, isInstalled: true };
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -15,7 +15,7 @@
 import { getLatestMembership, getMembershipAt } from "./members.js";
 import { createReplication } from "./replication.js";
 import type { Replication } from "./replication.js";
-import type { BarrierResult, ProposeResult, Replica, ReplicaCore, ReplicaOptions, ReplicaState } from "./replicaTypes.js";
+import type { BarrierResult, ProposeResult, Replica, ReplicaCore, ReplicaOptions, ReplicaState, StepDownReason } from "./replicaTypes.js";
 import { getVoters } from "./types.js";
 import type { HardState, LogEntry, Member, Membership, Snapshot, VoterId } from "./types.js";
 
@@ -29,6 +29,8 @@
 const transferTimeoutMs = 3_000;
 const catchUpTimeoutMs = 60_000;
 const entriesKeptAfterSnapshot = 1_000;
+/** Entries are applied without a pause, so anything longer delays messages to other replicas. */
+const slowApplyMs = 100;
 /** Number of election timeouts without a message from the leader after which this replica reports itself as not connected. */
 const connectedElectionTimeouts = 2;
 
@@ -135,17 +137,17 @@
     function handleDiskError(error: unknown): void {
         state.hasDiskFailed = true;
         log.error("Writing to the data folder failed.", { detail: getErrorText(error) });
-        stepDown();
+        stepDown("diskFailed");
     }
 
     // Steps down immediately. The new term is durable when this returns.
-    async function becomeFollower(term: number): Promise<void> {
-        stepDown();
+    async function becomeFollower(term: number, reason: StepDownReason): Promise<void> {
+        stepDown(reason);
         if (term > store.hardState.term) await saveHardState({ term });
     }
 
-    function stepDown(): void {
-        if (state.role === "leader") log.info("This voter is no longer the leader.", { term: store.hardState.term });
+    function stepDown(reason: StepDownReason): void {
+        if (state.role === "leader") log.info("This voter is no longer the leader.", { term: store.hardState.term, reason });
         state.role = "follower";
         if (state.leaderId === self.voterId) setLeader(undefined, undefined);
         replication?.stop();
@@ -249,11 +251,17 @@
                 await commitIndexAdvanced.wait(timing.electionTimeoutMs);
                 continue;
             }
+            const startedAtMs = host.clock.nowMs();
+            const firstIndex = state.appliedIndex + 1;
             while (state.appliedIndex < state.commitIndex) {
                 const entry = store.getEntry(state.appliedIndex + 1);
                 if (entry === undefined) break;
                 applyEntry(entry);
             }
+            const tookMs = host.clock.nowMs() - startedAtMs;
+            if (tookMs >= slowApplyMs) {
+                log.warn("Applying committed entries took long.", { firstIndex, lastIndex: state.appliedIndex, tookMs });
+            }
             progressed.notify();
             await takeSnapshotIfDue();
         }
@@ -285,7 +293,7 @@
 
     function stepDownIfRemoved(membership: Membership): void {
         const isVoter = getVoters(membership).some(voter => voter.voterId === self.voterId);
-        if (state.role === "leader" && !isVoter) stepDown();
+        if (state.role === "leader" && !isVoter) stepDown("removed");
     }
 
     async function takeSnapshotIfDue(): Promise<void> {
--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -118,6 +118,9 @@
     readonly hasDiskFailed: boolean;
 }
 
+/** Why a leader stepped down. */
+export type StepDownReason = "quorumLost" | "newerTerm" | "diskFailed" | "removed";
+
 /** Mutable state that the tasks of one replica share. */
 export interface ReplicaState {
     role: ReplicaRole;
@@ -141,7 +144,7 @@
     /** Runs operations that read and write the hard state or the log one at a time, in the order of the calls. */
     runExclusive<T>(work: () => Promise<T>): Promise<T>;
     saveHardState(state: HardState): Promise<void>;
-    becomeFollower(term: number): Promise<void>;
+    becomeFollower(term: number, reason: StepDownReason): Promise<void>;
     becomeLeader(): void;
     advanceCommit(index: number): void;
     /** Wakes the tasks that wait for applied entries or for the match index of a peer. */
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -182,7 +182,7 @@
 
     async function stepDownIfNewerTerm(replyTerm: number): Promise<boolean> {
         if (replyTerm <= core.getTerm()) return false;
-        await core.runExclusive(() => core.becomeFollower(replyTerm));
+        await core.runExclusive(() => core.becomeFollower(replyTerm, "newerTerm"));
         return true;
     }
 
@@ -206,7 +206,9 @@
             const earliestAckMs = host.clock.nowMs() - timing.electionTimeoutMs;
             const hasRecentAck = (voterId: VoterId) =>
                 voterId === self.voterId || (peers.get(voterId)?.lastAckMs ?? -Infinity) >= earliestAckMs;
-            if (isRunning() && !hasQuorum(state.membership, hasRecentAck)) await core.runExclusive(() => core.becomeFollower(term));
+            if (isRunning() && !hasQuorum(state.membership, hasRecentAck)) {
+                await core.runExclusive(() => core.becomeFollower(term, "quorumLost"));
+            }
         }
     }
 }
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -55,6 +55,8 @@
     isReady(): boolean;
     readonly statistics: EntryStatistics;
     getVersion(): number;
+    /** Time since control last answered the watch for a newer configuration. */
+    getConfigurationAgeMs(): number;
     /** Delay of the timers of this process. */
     getLagMs(): number;
     start(): void;
@@ -132,6 +134,7 @@
         isReady: () => isSynced() && !isStopping,
         statistics,
         getVersion: () => configuration.version,
+        getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
         getLagMs: lagMonitor.getLagMs,
         start() {
             configuration.start(stopController.signal);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -49,6 +49,8 @@
     start(): void;
     isReady(): boolean;
     getVersion(): number;
+    /** Time since control last answered the watch for a newer configuration. */
+    getConfigurationAgeMs(): number;
     /** Background tasks that are still running, such as settlements and claims that control or an agent has not confirmed. */
     getPendingTaskCount(): number;
     /** Fails the readiness check, waits for running requests, then settles and closes the leases. */
@@ -136,6 +138,7 @@
         },
         isReady: () => isAnnounced && configuration.isReady() && !isStopping,
         getVersion: () => configuration.version,
+        getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
         getPendingTaskCount: background.getCount,
         async stop() {
             isStopping = true;
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -14,6 +14,8 @@
     readonly version: number;
     /** True once a configuration was read from control with confirmation by a quorum. */
     isReady(): boolean;
+    /** Time since a control VM with contact to its group answered a watch. Infinite before the first answer. */
+    getAgeMs(nowMs: number): number;
     getObjects(): ObjectIndex;
     findAccount(key: string): ClientAccountObject | undefined;
     findModelRoute(model: string): RouteObject | undefined;
@@ -58,6 +60,7 @@
     let version = 0;
     let revision = 0;
     let hasConfirmedConfiguration = false;
+    let confirmedAtMs = -Infinity;
     let needsFullRead = true;
     let objects = createObjectIndex([]);
     let accountsByDigest: ReadonlyMap<string, ClientAccountObject> = new Map();
@@ -72,6 +75,7 @@
             return version;
         },
         isReady: () => hasConfirmedConfiguration,
+        getAgeMs: nowMs => nowMs - confirmedAtMs,
         getObjects: () => objects,
         findAccount: key => accountsByDigest.get(getSha256(key)),
         findModelRoute: model => routesByModel.get(model),
@@ -116,6 +120,7 @@
         const { vm, role, failureDomain, incarnation } = identity;
         const reply = await control.watch({ vm, role, failureDomain, incarnation, version, revision, timeoutMs: watchTimeoutMs });
         if (reply === undefined) return sleep(host.timers, retryMs);
+        confirmedAtMs = host.clock.nowMs();
         options.onVoterAddresses?.(reply.members);
         if (reply.configuration !== undefined && reply.revision > revision) {
             revision = reply.revision;
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -57,6 +57,8 @@
     readonly isConnected: boolean;
     /** Addresses of all voting control VMs. */
     readonly members: readonly string[];
+    /** Time that the call was held for a change. The caller derives from it how long the reply was on its way. */
+    readonly waitedMs: number;
 }
 
 /** A long poll for changes to backend servers. Revisions are comparable only within one incarnation of a control VM. */
@@ -80,6 +82,8 @@
     /** Number of all watching entries, including the caller. */
     readonly watcherCount: number;
     readonly isConnected: boolean;
+    /** Time that the call was held for a change. */
+    readonly waitedMs: number;
 }
 
 /** Backend server records and watching entries that one control VM gossips to another. */
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -55,6 +55,8 @@
 
 /** Delay after each attempt that completes a round over all members. */
 const delayBetweenRoundsMs = 50;
+/** Time that a long poll and its reply may spend outside of control's wait. A longer one is logged. */
+const slowTransitMs = 250;
 /** Upper limit of the extra time that a long poll may take beyond its own timeout before its path counts as failed. */
 const maxWatchGraceMs = 1_000;
 
@@ -101,14 +103,24 @@
     }
 
     // A control VM that has lost contact with its leader may return stale data, so its reply is discarded.
-    async function callPreferredMember<T extends { readonly isConnected?: boolean; }>(
+    async function callPreferredMember<T extends { readonly isConnected: boolean; readonly waitedMs: number; }>(
         send: (client: TRPCClient<ControlRouter>) => Promise<T>,
         timeoutMs: number,
     ): Promise<T | undefined> {
         const path = paths.getPreferredMemberPath();
+        const sentAtMs = host.clock.nowMs();
         const reply = await tryOnce(send, path, timeoutMs);
-        if (reply === undefined || reply.isConnected === false) paths.changePreferredMember(path.address);
-        return reply?.isConnected === false ? undefined : reply;
+        const transitMs = host.clock.nowMs() - sentAtMs - (reply?.waitedMs ?? 0);
+        if (reply !== undefined && transitMs >= slowTransitMs) {
+            log.warn("A long poll of control was delayed on its way.", { ...path, waitedMs: reply.waitedMs, transitMs });
+        }
+        if (reply?.isConnected === true) return reply;
+        paths.changePreferredMember(path.address);
+        const next = paths.getPreferredMemberPath();
+        if (next.address !== path.address) {
+            log.info("Watching another control VM.", { from: path.address, to: next.address, hasAnswered: reply !== undefined });
+        }
+        return undefined;
     }
 
     // Tries one path after another until the leader answers or the timeout expires.
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -27,6 +27,7 @@
 import { createProcessHandler } from "./kernel/endpoints.js";
 import type { Host, HttpRequest, Listener, ServerOptions, TlsFiles } from "./kernel/host.js";
 import { fleetSecretHeader, isSameSecret } from "./kernel/hostNode.js";
+import { createLagMonitor } from "./kernel/lagMonitor.js";
 import type { AgentAnnouncement } from "./kernel/messages.js";
 import { readHistogram } from "./kernel/metrics.js";
 import type { MetricReading } from "./kernel/metrics.js";
@@ -228,6 +229,7 @@
     const control = createControlClient(host, paths, seededClientTiming);
     const updateMembers = () => paths.updateMembers(getVoters(localControl.replica.getStatus().membership).map(voter => voter.address));
     const memberUpdates = createStopController();
+    createLagMonitor(host, host.createLogger("process")).start(memberUpdates.signal);
     void runPeriodically(host.timers, memberUpdateIntervalMs, memberUpdates.signal, async () => updateMembers(), () => undefined);
     const handler = createProcessHandler({
         isReady: localControl.isReady,
@@ -437,13 +439,18 @@
     ];
 }
 
-function readRequestMetrics(entry: Pick<Entry, "statistics" | "getVersion">): readonly MetricReading[] {
+function readRequestMetrics(entry: Pick<Entry, "statistics" | "getVersion" | "getConfigurationAgeMs">): readonly MetricReading[] {
     const counts = entry.statistics.read();
     return [
         { name: "lovage_entry_requests", help: "requests so far", value: counts.requests },
         { name: "lovage_entry_dispatches", help: "dispatches so far", value: counts.dispatches },
         { name: "lovage_entry_retries", help: "retries so far", value: counts.retries },
         { name: "lovage_entry_version", help: "version in force", value: entry.getVersion() },
+        {
+            name: "lovage_entry_configuration_age_ms",
+            help: "time since control last answered the watch for a newer configuration",
+            value: entry.getConfigurationAgeMs(),
+        },
         ...Object.entries(counts.refusals).map(([code, value]) => ({
             name: "lovage_entry_refusals",
             help: "refusals by code",
