Do not let a configuration change wait for the directory watch

What callers saw: 404 or the older service from an entry that was one to two seconds behind control, with nothing wrong anywhere. Cause: calls of one tick to one control VM shared an HTTP request, whose answer arrives when its slowest call is done. The configuration watch and the directory watch of an entry are both held for up to 1,000 ms. Once they start in the same tick they are answered together and start together again, until something separates them. Class: head-of-line blocking between calls that share a request. Change: a long poll is sent alone, and a batch holds calls of one procedure only. Ruled out: an unbatched link for everything, which costs batches their use at the two-year size; a streamed batch, which holds a connection for its slowest call and needs a second kind of reader in every relay.

--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -8,7 +8,7 @@
 import { hedge } from "./hedge.js";
 import type { Host } from "./host.js";
 import type { CommandInputs, CommandKind, CommandResults, ControlReply, QueryInputs, QueryKind, QueryResults } from "./messages.js";
-import { createRpcClients } from "./rpc.js";
+import { createRpcClients, longPollOptions } from "./rpc.js";
 import { getErrorText, sleep, withTimeout } from "./tasks.js";
 import type { Address, OperationId } from "./types.js";
 
@@ -87,12 +87,12 @@
         heartbeat: (heartbeat, timeoutMs) => call(client => client.heartbeat.mutate(heartbeat) as never, timeoutMs),
         watch: request =>
             callPreferredMember(
-                client => client.watch.query(request) as Promise<WatchReply>,
+                client => client.watch.query(request, longPollOptions) as Promise<WatchReply>,
                 request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
             ),
         watchDirectory: request =>
             callPreferredMember(
-                client => client.watchDirectory.query(request) as Promise<DirectoryReply>,
+                client => client.watchDirectory.query(request, longPollOptions) as Promise<DirectoryReply>,
                 request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
             ),
         getCallCounts: () => callCounts,
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -1,6 +1,6 @@
 /** The production host: clock, timers, files and HTTP server of Node.js, and the undici client. */
-import { httpBatchLink } from "@trpc/client";
-import type { TRPCLink } from "@trpc/client";
+import { httpBatchLink, httpLink } from "@trpc/client";
+import type { OperationLink, TRPCLink } from "@trpc/client";
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, randomBytes, randomInt, timingSafeEqual } from "node:crypto";
@@ -14,6 +14,7 @@
 import VError from "verror";
 import { createNodeBackendConnections, flattenHeaders, toNetworkError } from "./backendConnections.js";
 import type { Clock, Disk, Host, HttpRequest, HttpResponse, IncomingResponse, Listener, Logger, Network, ServerOptions } from "./host.js";
+import { isLongPoll } from "./rpc.js";
 import type { Address } from "./types.js";
 
 /** Header that authenticates calls between processes by the fleet secret. */
@@ -36,6 +37,7 @@
 const headersTimeoutMs = 30_000;
 const closeGraceMs = 500;
 const maxHeaderSizeBytes = 16_384;
+const maxBatchItems = 64;
 const randomRange = 2 ** 47;
 
 /** The system clock. Its monotonic time counts from the start of the process. */
@@ -101,14 +103,25 @@
     };
 }
 
+// The answer to a batch arrives when its slowest call is done. Therefore only calls of one procedure share a batch, and a long poll is
+// sent alone.
 function createLink(address: Address, pool: Agent, fleetSecret: string, relay?: Address): TRPCLink<AnyRouter> {
-    return httpBatchLink({
+    const options = {
         url: relay === undefined ? `http://${address}/rpc` : `http://${relay}${relayPrefix}${address}/rpc`,
-        maxItems: 64,
-        methodOverride: "POST",
+        methodOverride: "POST" as const,
         headers: { [fleetSecretHeader]: fleetSecret },
-        fetch: (url, init) => callPeer(pool, String(url), init as PeerCall),
-    }) as TRPCLink<AnyRouter>;
+        fetch: (url: unknown, init: unknown) => callPeer(pool, String(url), init as PeerCall),
+    };
+    return runtime => {
+        const sendAlone = httpLink<AnyRouter>(options)(runtime);
+        const batchesByProcedure = new Map<string, OperationLink<AnyRouter>>();
+        const getBatch = (procedure: string) => {
+            const batch = batchesByProcedure.get(procedure) ?? httpBatchLink<AnyRouter>({ ...options, maxItems: maxBatchItems })(runtime);
+            batchesByProcedure.set(procedure, batch);
+            return batch;
+        };
+        return request => (isLongPoll(request.op.context) ? sendAlone : getBatch(request.op.path))(request);
+    };
 }
 
 /** The part of `RequestInit` that the tRPC link sets. */
--- a/src/kernel/rpc.ts
+++ b/src/kernel/rpc.ts
@@ -9,6 +9,14 @@
 /** Builder of routers and procedures. */
 export const rpc = initTRPC.create({ isDev: false });
 
+/** Options of a call that the server may hold until there is something to report. */
+export const longPollOptions = { context: { isLongPoll: true } } as const;
+
+/** True if a call was made with `longPollOptions`. */
+export function isLongPoll(context: Readonly<Record<string, unknown>>): boolean {
+    return context.isLongPoll === true;
+}
+
 /** A cache of typed clients by address. */
 export interface RpcClients<R extends AnyRouter> {
     get(address: Address, relay?: Address): TRPCClient<R>;
