Answer other replicas during a long replay of the log

Cause: committed entries were applied in one go. After a restart all replicas replay up to 250 entries once the new leader commits; the leader first, then both followers at the same time. Each computes for 280 to 395 ms at full cost, answers nothing meanwhile, and the leader concludes that it lost its quorum. Leaders then change until each replica has had its replay. Class: a task that holds the event loop longer than the timeout by which others judge the process. Change: entries are applied in slices of 10 ms with pauses of 1 ms, in which the replica answers. The fake host can compute now, and sends no reply while it does; that is how the test, in log.test.ts, sees the fault. It failed for each of its five seeds: 3 or 4 terms instead of 2. An entry that is missing no longer ends in a loop without a pause.

--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -29,8 +29,11 @@
 const transferTimeoutMs = 3_000;
 const catchUpTimeoutMs = 60_000;
 const entriesKeptAfterSnapshot = 1_000;
-/** Entries are applied without a pause, so anything longer delays messages to other replicas. */
-const slowApplyMs = 100;
+/** Committed entries are applied for at most this long without a pause. Much shorter than a heartbeat interval. */
+const maxSliceMs = 10;
+const pauseBetweenSlicesMs = 1;
+/** Time that a slice exceeds only if a single entry takes very long. */
+const slowSliceMs = 100;
 /** Number of election timeouts without a message from the leader after which this replica reports itself as not connected. */
 const connectedElectionTimeouts = 2;
 
@@ -251,19 +254,26 @@
                 await commitIndexAdvanced.wait(timing.electionTimeoutMs);
                 continue;
             }
-            const startedAtMs = host.clock.nowMs();
-            const firstIndex = state.appliedIndex + 1;
-            while (state.appliedIndex < state.commitIndex) {
-                const entry = store.getEntry(state.appliedIndex + 1);
-                if (entry === undefined) break;
-                applyEntry(entry);
-            }
-            const tookMs = host.clock.nowMs() - startedAtMs;
-            if (tookMs >= slowApplyMs) {
-                log.warn("Applying committed entries took long.", { firstIndex, lastIndex: state.appliedIndex, tookMs });
-            }
+            applySlice();
             progressed.notify();
             await takeSnapshotIfDue();
+            // Between slices the replica answers other replicas. Otherwise a long replay would look like a failure to them.
+            if (state.appliedIndex < state.commitIndex) await sleep(host.timers, pauseBetweenSlicesMs, stopping.signal);
+        }
+    }
+
+    function applySlice(): void {
+        const firstIndex = state.appliedIndex + 1;
+        const startedAtMs = host.clock.nowMs();
+        let tookMs = 0;
+        while (state.appliedIndex < state.commitIndex && tookMs < maxSliceMs) {
+            const entry = store.getEntry(state.appliedIndex + 1);
+            if (entry === undefined) break;
+            applyEntry(entry);
+            tookMs = host.clock.nowMs() - startedAtMs;
+        }
+        if (tookMs >= slowSliceMs) {
+            log.warn("Applying committed entries took long.", { firstIndex, lastIndex: state.appliedIndex, tookMs });
         }
     }
 
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -34,6 +34,8 @@
     restart(): Host;
     /** Pauses the process, as a hypervisor does. Its timers, RPC calls and HTTP responses wait until the end. */
     freeze(durationMs: number): void;
+    /** Models a computation of the process: its clock moves on, and everything else that it does waits until the end. */
+    compute(durationMs: number): void;
 }
 
 /** The simulated VMs, their network and their clock. */
@@ -66,6 +68,8 @@
     isAlive: boolean;
     /** Until this time the timers, RPC calls and HTTP responses of the process wait. */
     frozenUntilMs: number;
+    /** Until this time the process computes. Its clock shows this time already. */
+    computesUntilMs: number;
     /** Called when the process is killed. */
     readonly onExit: Set<() => void>;
 }
@@ -174,6 +178,10 @@
             freeze(durationMs) {
                 currentProcess.frozenUntilMs = nowMs + durationMs;
             },
+            compute(durationMs) {
+                currentProcess.computesUntilMs = getProcessTimeMs(currentProcess) + durationMs;
+                currentProcess.frozenUntilMs = Math.max(currentProcess.frozenUntilMs, currentProcess.computesUntilMs);
+            },
             restart() {
                 kill();
                 currentProcess = createProcess();
@@ -193,8 +201,10 @@
             return { debug: () => undefined, info: write("info"), warn: write("warn"), error: write("error") };
         };
         return {
-            clock: { nowMs: () => nowMs, wallMs: () => 1_700_000_000_000 + nowMs },
-            timers: { after: (delayMs, callback) => after(delayMs, () => runWhenUnfrozen(owner, callback)) },
+            clock: { nowMs: () => getProcessTimeMs(owner), wallMs: () => 1_700_000_000_000 + getProcessTimeMs(owner) },
+            timers: {
+                after: (delayMs, callback) => after(getProcessTimeMs(owner) - nowMs + delayMs, () => runWhenUnfrozen(owner, callback)),
+            },
             random: {
                 nextFloat: random,
                 nextId: () => Array.from({ length: 3 }, () => Math.floor(random() * 2 ** 32).toString(36).padStart(7, "0")).join(""),
@@ -205,6 +215,10 @@
         };
     }
 
+    function getProcessTimeMs(owner: FakeProcess): number {
+        return Math.max(nowMs, owner.computesUntilMs);
+    }
+
     // Drops the callback if the process has been killed, and delays it while the process is frozen.
     function runWhenUnfrozen(owner: FakeProcess, run: () => void): void {
         if (!owner.isAlive) return;
@@ -383,15 +397,17 @@
                         batchIndex: 0,
                     }).then(
                         data => {
-                            if (isDuplicate || !server.owner.isAlive) return;
+                            if (isDuplicate) return;
                             const copy: unknown = data === undefined ? undefined : JSON.parse(JSON.stringify(data));
-                            sendReply(() => {
+                            const deliver = () => {
                                 observer.next({ result: { type: "data", data: copy } });
                                 observer.complete();
-                            });
+                            };
+                            runWhenUnfrozen(server.owner, () => sendReply(deliver));
                         },
                         error => {
-                            if (!isDuplicate && server.owner.isAlive) sendReply(() => observer.error(TRPCClientError.from(error as Error)));
+                            if (isDuplicate) return;
+                            runWhenUnfrozen(server.owner, () => sendReply(() => observer.error(TRPCClientError.from(error as Error))));
                         },
                     );
                 };
@@ -404,7 +420,7 @@
 const maxLogLines = 20_000;
 
 function createProcess(): FakeProcess {
-    return { isAlive: true, frozenUntilMs: 0, onExit: new Set() };
+    return { isAlive: true, frozenUntilMs: 0, computesUntilMs: 0, onExit: new Set() };
 }
 
 // Runs all pending promise callbacks before virtual time advances.
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -64,6 +64,23 @@
     t.equal(leader.replica!.getStatus().role, "leader");
 });
 
+test("a long replay after a restart of the whole group does not cost the leader its leadership", async t => {
+    for (const seed of [5, 6, 7, 8, 9]) {
+        const group = await createLogGroup(seed, 3, 1_000);
+        await proposeMany(group, 250, "a");
+        const termBefore = group.getLeaders()[0]!.replica!.getStatus().term;
+        for (const index of group.members.keys()) group.crash(index);
+        for (const [index, member] of group.members.entries()) {
+            member.applyCostMs = 4;
+            await group.start(index);
+        }
+        await group.simulation.advance(4_000);
+        t.equal(group.getLeaders().length, 1);
+        t.equal(group.getLeaders()[0]?.replica?.getStatus().term, termBefore + 1, `seed ${seed}: one election is enough`);
+        for (const index of group.members.keys()) t.equal(countApplied(group, index, "a"), 250);
+    }
+});
+
 test("a restarted follower catches up over a snapshot after 1800 entries", async t => {
     const group = await createLogGroup(4, 3, 40);
     const leader = await group.waitForLeader();
--- a/test/logGroup.ts
+++ b/test/logGroup.ts
@@ -16,6 +16,8 @@
     store: LogStore | undefined;
     /** Values applied since the replica was last started, including those of a loaded snapshot, by log index. */
     applied: Map<number, string>;
+    /** Time that applying one entry takes. */
+    applyCostMs: number;
 }
 
 /** A group of log replicas. */
@@ -88,7 +90,14 @@
     }
 
     function createGroupMember(member: Member): GroupMember {
-        return { member, vm: simulation.createVm(member.address.split(":")[0]!), replica: undefined, store: undefined, applied: new Map() };
+        return {
+            member,
+            vm: simulation.createVm(member.address.split(":")[0]!),
+            replica: undefined,
+            store: undefined,
+            applied: new Map(),
+            applyCostMs: 0,
+        };
     }
 
     function getLeaders(): readonly GroupMember[] {
@@ -127,6 +136,7 @@
                 if (existing !== undefined && existing !== value) throw new Error(`index ${entry.index} holds ${existing} and ${value}`);
                 appliedValues.set(entry.index, value);
                 member.applied.set(entry.index, value);
+                if (member.applyCostMs > 0) member.vm.compute(member.applyCostMs);
                 return value;
             },
             save: () => [...member.applied],
