Log a failed path to control once until it works again

While control was down each entry logged 27 failures within half a second, one per relay and round: work at the moment at which service has to return, and a flood in the log that is to explain the outage.

--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -72,6 +72,9 @@
     const time = createControlTimeBound(host.clock);
     const callCounts: Record<string, number> = {};
     const probing = new Set<Address>();
+    /** Paths whose failure was logged and that have not worked since. */
+    const failedPaths = new Set<string>();
+    let watchedAddress: Address | undefined;
 
     return {
         time,
@@ -114,13 +117,13 @@
         if (reply !== undefined && transitMs >= slowTransitMs) {
             log.warn("A long poll of control was delayed on its way.", { ...path, waitedMs: reply.waitedMs, transitMs });
         }
-        if (reply?.isConnected === true) return reply;
-        paths.changePreferredMember(path.address);
-        const next = paths.getPreferredMemberPath();
-        if (next.address !== path.address) {
-            log.info("Watching another control VM.", { from: path.address, to: next.address, hasAnswered: reply !== undefined });
+        if (reply?.isConnected !== true) {
+            paths.changePreferredMember(path.address);
+            return undefined;
         }
-        return undefined;
+        if (watchedAddress !== path.address) log.info("Watching another control VM.", { from: watchedAddress, to: path.address });
+        watchedAddress = path.address;
+        return reply;
     }
 
     // Tries one path after another until the leader answers or the timeout expires.
@@ -183,15 +186,15 @@
     }
 
     function markPathWorking(path: ControlPath): void {
-        if (path.relay === undefined && paths.isDirectPathAvoided(path.address)) {
-            log.info("The direct path to a control VM works again.", { address: path.address });
-        }
+        const hadFailed = failedPaths.delete(getPathKey(path));
+        if (hadFailed && path.relay === undefined) log.info("The direct path to a control VM works again.", { address: path.address });
         paths.recordSuccess(path);
     }
 
     function markPathFailed(path: ControlPath, detail: string): void {
-        const wasAvoided = path.relay === undefined && paths.isDirectPathAvoided(path.address);
-        if (!wasAvoided) log.warn("A path to a control VM failed.", { address: path.address, relay: path.relay, detail });
+        const hadFailed = failedPaths.has(getPathKey(path));
+        failedPaths.add(getPathKey(path));
+        if (!hadFailed) log.warn("A path to a control VM failed.", { address: path.address, relay: path.relay, detail });
         paths.recordFailure(path);
         void probe(path.address);
     }
@@ -214,6 +217,10 @@
     }
 }
 
+function getPathKey(path: ControlPath): string {
+    return `${path.relay ?? ""} ${path.address}`;
+}
+
 function isSamePath(a: ControlPath, b: ControlPath): boolean {
     return a.address === b.address && a.relay === b.relay;
 }
