--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -169,7 +169,10 @@
         void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
     };
     const server = await createServer(options, listener);
-    server.on("connection", (socket: Socket) => connectedAtMs.set(socket, nodeClock.nowMs()));
+    server.on("connection", (socket: Socket) => {
+        connectedAtMs.set(socket, nodeClock.nowMs());
+        options.onConnection?.();
+    });
     await listen(server, host, port);
     const boundAddress = server.address() as AddressInfo;
     return {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -319,7 +319,12 @@
         readMetrics: () => readGatewayMetrics(gateway),
         handler: rejectUnauthorized,
     });
-    clientListener = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
+    clientListener = await host.network.serve({
+        address: settings.listen,
+        handler: gateway.handle,
+        maxBodyBytes,
+        onConnection: gateway.recordConnection,
+    });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
         await host.network.serve({ address: fleetListen, handler: endpoints, router: gateway.router, maxBodyBytes: maxFleetBodyBytes }),
