--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -103,6 +103,7 @@
                 servers,
                 watchers: watchers.listPeersOf(request.watcher ?? "", host.clock.nowMs()),
                 watcherCount: watchers.count(host.clock.nowMs()),
+                watcherRank: watchers.getRank(request.watcher ?? "", host.clock.nowMs()),
                 isConnected: group.isConnected(),
                 waitedMs: host.clock.nowMs() - receivedAtMs,
             };
--- a/src/control/watcherList.ts
+++ b/src/control/watcherList.ts
@@ -12,6 +12,8 @@
     /** Returns a bounded number of other entries. The selection stays mostly the same as entries join and leave. */
     listPeersOf(watcher: Address, nowMs: number): readonly Address[];
     count(nowMs: number): number;
+    /** Number of entries whose address comes before that of the given one. */
+    getRank(watcher: Address, nowMs: number): number;
 }
 
 /** Covers several watch timeouts. */
@@ -33,6 +35,7 @@
             return others.sort((a, b) => getPairRank(watcher, a) - getPairRank(watcher, b)).slice(0, maxPeers);
         },
         count: nowMs => listAll(nowMs).size,
+        getRank: (watcher, nowMs) => [...listAll(nowMs)].filter(other => other < watcher).length,
     };
 
     function listAll(nowMs: number): ReadonlySet<Address> {
--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -10,7 +10,7 @@
 import { createEventFramer } from "./eventFramer.js";
 import type { DispatchOutcome } from "./loadTracker.js";
 import { isStream } from "./types.js";
-import type { DirectCall, DirectProtocol, DispatchMetadata, Headers, ReplyHead, ServerLoad } from "./types.js";
+import type { DirectCall, DirectProtocol, DispatchMetadata, Headers, NamedLimit, ReplyHead, ServerLoad } from "./types.js";
 
 /** A complete answer whose body was buffered. */
 export interface BufferedAnswer {
@@ -55,6 +55,8 @@
     readonly log: Logger;
     readonly enginePriority?: number;
     readonly onLoad: (load: ServerLoad) => void;
+    /** Called with what each answer of this server says about the rate of requests that it takes. */
+    readonly onLimit: (limit: NamedLimit) => void;
     /** Called when a valid answer has started. */
     readonly onStarted: () => void;
 }
@@ -114,6 +116,7 @@
             return createFailure("mayHaveRun", "outcomeUnknown", "unknown", "The answer belongs to another request.");
         }
         if (head.load !== undefined) options.onLoad(head.load);
+        if (!head.isMisdirected && head.requestId !== undefined) options.onLimit(head.limit);
         if (head.isMisdirected || head.isNotRun) {
             await discardRefusal(reply);
             const code = head.isMisdirected ? "staleIncarnation" : "backendServerRefused";
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -2,6 +2,7 @@
  * Serves one request: chooses backend servers, makes attempts and decides which failures are retried. This is
  * the only place where direct dispatches are retried.
  */
+import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { BackendConnections, Host, HttpResponse, Logger } from "../../kernel/host.js";
 import { createVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
@@ -13,9 +14,10 @@
 import { choosePlacement } from "./placement.js";
 import type { Placement } from "./placement.js";
 import type { RetryWindow } from "./retryWindow.js";
+import type { ServerLimits } from "./serverLimits.js";
 import type { ServerView } from "./serverView.js";
 import { isRepeatable } from "./types.js";
-import type { DirectCall, DirectProtocol, Headers } from "./types.js";
+import type { DirectCall, DirectProtocol, Headers, NamedLimit } from "./types.js";
 
 /** Options of a delivery. */
 export interface DeliveryOptions {
@@ -23,7 +25,8 @@
     readonly connections: BackendConnections;
     readonly servers: ServerView;
     readonly loads: LoadTracker;
-    readonly loadExchange: Pick<LoadExchange, "recordDispatch">;
+    readonly limits: ServerLimits;
+    readonly loadExchange: Pick<LoadExchange, "recordDispatch" | "recordLimitChange">;
     readonly retryWindow: RetryWindow;
     readonly crashGuard: CrashGuard;
     readonly log: Logger;
@@ -128,11 +131,17 @@
     return createResult(toFinalVerdict());
 
     function choosePlacementForCall(): Placement | undefined {
-        const candidates = options.servers.listPool(call.pool)
-            .filter(server => !progress.triedServers.has(server.backendServer))
+        const nowMs = host.clock.nowMs();
+        const untried = options.servers.listPool(call.pool).filter(server => !progress.triedServers.has(server.backendServer));
+        const waitsMs = untried.map(server => options.limits.getWaitMs(server.backendServer, nowMs));
+        if (untried.length > 0 && waitsMs.every(waitMs => waitMs > 0) && progress.dispatches === 0) {
+            progress.verdict = createVerdict("notRun", "serversLimited", undefined, Math.min(...waitsMs) + getRetryAfterMs());
+        }
+        const candidates = untried
+            .filter((_, index) => waitsMs[index] === 0)
             .map(server => ({ server, tracked: options.loads.get(server.backendServer) }));
         const request = { promptTokens: call.head.generation?.promptTokens ?? 0, promptParts: call.head.promptParts };
-        return choosePlacement(request, candidates, host.clock.nowMs(), host.random.nextFloat());
+        return choosePlacement(request, candidates, nowMs, host.random.nextFloat());
     }
 
     async function makeAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -141,6 +150,7 @@
         progress.triedServers.add(server.backendServer);
         progress.dispatches++;
         progress.placement = placement;
+        options.limits.recordDispatch(server.backendServer, nowMs);
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         options.loadExchange.recordDispatch(server.backendServer, placement.prefillTokens, call.head.promptParts.map(part => part.partId));
         const eventsBefore = progress.deliveredEvents;
@@ -152,6 +162,7 @@
             log: options.log,
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.recordLoad(server.backendServer, load, host.clock.nowMs()),
+            onLimit: limit => recordLimit(server, limit, nowMs),
             onStarted: () => {
                 options.loads.recordResponseStart(server.backendServer, dispatch, host.clock.nowMs());
                 progress.answeredAtMs ??= host.clock.nowMs();
@@ -172,6 +183,15 @@
         return outcome;
     }
 
+    function recordLimit(server: BackendServerRecord, limit: NamedLimit, sentAtMs: number): void {
+        const { backendServer, pool } = server;
+        const change = options.limits.recordAnswer(backendServer, limit, sentAtMs, host.clock.nowMs());
+        if (change === "unchanged") return;
+        options.loadExchange.recordLimitChange();
+        const perSecond = limit.kind === "named" ? limit.perSecond : undefined;
+        options.log.info("A backend server changed its request limit.", { backendServer, pool, change, perSecond });
+    }
+
     function logFailure(placement: Placement, verdict: Verdict): void {
         options.log.info("An attempt failed.", {
             requestId: call.head.requestId,
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -29,6 +29,7 @@
 import type { RetryRules } from "./retryWindow.js";
 import { choosePool, createRouteTable } from "./routeTable.js";
 import type { RouteTable } from "./routeTable.js";
+import { createServerLimits } from "./serverLimits.js";
 import { createServerView } from "./serverView.js";
 import type { DirectCall, DirectProtocol, RequestHead } from "./types.js";
 
@@ -91,18 +92,21 @@
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
     const requestQueue = createRequestQueue(host);
-    const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads });
+    const serverLimits = createServerLimits(host.random.nextFloat);
+    const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads, limits: serverLimits });
     const servers = createServerView(host, {
         control,
         watcher: identity.address,
         onChange(all) {
             stateChanged.notify();
             loads.retainServers(all);
+            serverLimits.retainServers(new Set(all.map(server => server.backendServer)));
             options.onServers(all);
         },
-        onWatchers(watchers, watcherCount) {
+        onWatchers(watchers, position) {
             loadExchange.addPeers(watchers);
-            retryWindow.updateEntryCount(watcherCount);
+            retryWindow.updateEntryCount(position.count);
+            serverLimits.updatePosition(position, host.clock.nowMs());
         },
     });
     const leases = createLeaseManager(host, {
@@ -267,6 +271,7 @@
                 connections: options.connections,
                 servers,
                 loads,
+                limits: serverLimits,
                 loadExchange,
                 retryWindow,
                 crashGuard,
--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -11,12 +11,14 @@
 import type { Address } from "../../kernel/types.js";
 import type { LoadTracker } from "./loadTracker.js";
 import { createMessagePacer } from "./messagePacer.js";
+import type { ServerLimits } from "./serverLimits.js";
 
 /** Options of a load exchange. */
 export interface LoadExchangeOptions {
     /** Incarnation of this entry. */
     readonly incarnation: string;
     readonly loads: LoadTracker;
+    readonly limits: ServerLimits;
 }
 
 /** The exchange with all other entries. */
@@ -25,6 +27,8 @@
     addPeers(addresses: readonly Address[]): void;
     /** Records that a prompt was sent to a backend server, which has to prefill `prefillTokens` of it. */
     recordDispatch(backendServer: string, prefillTokens: number, partIds: readonly string[]): void;
+    /** Tells the other entries soon that a backend server has changed its request limit. */
+    recordLimitChange(): void;
     /** Processes a message of another entry. */
     receive(load: SharedLoad): void;
     start(signal: AbortSignal): void;
@@ -66,7 +70,7 @@
 
 /** Creates an exchange without peers. */
 export function createLoadExchange(host: Host, options: LoadExchangeOptions): LoadExchange {
-    const { incarnation, loads } = options;
+    const { incarnation, loads, limits } = options;
     const log = host.createLogger("loadExchange");
     const clients = createRpcClients<GatewayRouter>(host.network);
     const peers = new Map<Address, Peer>();
@@ -87,7 +91,20 @@
             }
             scheduleChanged.notify();
         },
-        receive: load => loads.applyPeerLoad(load, host.clock.nowMs()),
+        recordLimitChange() {
+            const nowMs = host.clock.nowMs();
+            for (const peer of peers.values()) peer.urgentSinceMs ??= nowMs;
+            scheduleChanged.notify();
+        },
+        receive(load) {
+            const nowMs = host.clock.nowMs();
+            loads.applyPeerLoad(load, nowMs);
+            for (const { backendServer, limit } of load.servers) {
+                const change = limit === undefined ? "unchanged" : limits.recordShared(backendServer, limit, nowMs);
+                if (change === "unchanged") continue;
+                log.info("A backend server changed its request limit.", { backendServer, change, ...limit, from: load.from });
+            }
+        },
         start: signal => void runSendLoop(signal),
     };
 
@@ -153,7 +170,8 @@
 
     async function sendLoads(peer: Peer, ownLoads: readonly OwnLoad[], nowMs: number): Promise<void> {
         const { unsentParts: parts } = peer;
-        const servers = createMessage(ownLoads, parts, peer.lastListed);
+        const servers = createMessage(ownLoads, parts, [...peer.lastListed, ...limits.listShared(nowMs)])
+            .map(server => ({ ...server, limit: limits.getShared(server.backendServer, nowMs) }));
         peer.unsentParts = new Map();
         peer.lastListed = new Set(ownLoads.map(load => load.backendServer));
         peer.urgentSinceMs = undefined;
@@ -178,14 +196,14 @@
 
 type OwnLoad = Omit<SharedServerLoad, "partIds">;
 
-/** Lists the servers with load, those with new prompt parts, and those whose load is gone since the last message. */
+/** Lists the servers with load, those with new prompt parts, and others, such as those whose load is gone since the last message. */
 function createMessage(
     ownLoads: readonly OwnLoad[],
     parts: ReadonlyMap<string, ReadonlySet<string>>,
-    lastListed: ReadonlySet<string>,
+    otherServers: readonly string[],
 ): SharedServerLoad[] {
     const loadByServer = new Map(ownLoads.map(load => [load.backendServer, load]));
-    const names = new Set([...loadByServer.keys(), ...parts.keys(), ...lastListed]);
+    const names = new Set([...loadByServer.keys(), ...parts.keys(), ...otherServers]);
     return [...names].map(backendServer => ({
         backendServer,
         running: 0,
--- /dev/null
+++ b/src/entry/direct/serverLimits.ts
@@ -0,0 +1,131 @@
+/**
+ * Request rates that backend servers in need name in their answers. A named rate holds for all entries together, so each entry keeps to a
+ * share of it without asking the others: it knows how many entries there are and its position among them. A server that names a very low
+ * rate would get more than that from one request of each entry, so only some of the entries send to it then.
+ */
+import type { SharedLimit } from "../../kernel/contracts.js";
+import { getHash32 } from "../../kernel/digest.js";
+import type { NamedLimit } from "./types.js";
+
+/** Position of this entry among all entries. */
+export interface EntryPosition {
+    readonly rank: number;
+    readonly count: number;
+}
+
+/** Rates that backend servers have named. */
+export interface ServerLimits {
+    /** Records what an answer said about the rate. `sentAtMs` is the time at which its request was sent. */
+    recordAnswer(backendServer: string, limit: NamedLimit, sentAtMs: number, nowMs: number): LimitChange;
+    /** Records what another entry has learned from an answer. */
+    recordShared(backendServer: string, limit: SharedLimit, nowMs: number): LimitChange;
+    /** Records a dispatch, of whatever kind. */
+    recordDispatch(backendServer: string, nowMs: number): void;
+    /** Time until this entry may send a request to the server. Zero if the server has named no rate. */
+    getWaitMs(backendServer: string, nowMs: number): number;
+    /** Returns what this entry has recently learned from the server's own answers. */
+    getShared(backendServer: string, nowMs: number): SharedLimit | undefined;
+    /** Servers about which `getShared` has something to say. */
+    listShared(nowMs: number): readonly string[];
+    updatePosition(position: EntryPosition, nowMs: number): void;
+    retainServers(names: ReadonlySet<string>): void;
+}
+
+/** Effect of new information on what is known of a server. */
+export type LimitChange = "named" | "ended" | "unchanged";
+
+interface ServerState {
+    /** Undefined while the server names no rate. */
+    readonly perSecond: number | undefined;
+    /** Time at which the server made the latest known statement. */
+    readonly statedAtMs: number;
+    /** True if an answer to this entry made the statement. */
+    readonly isOwn: boolean;
+    readonly nextSendAtMs: number;
+}
+
+/** Requests that a server gets from all entries together, even if it names a lower rate: otherwise it could never say that it is well. */
+const minPerSecond = 0.1;
+/** Entries that may send to a server at once, beyond one per request a second that it named. */
+const extraSenders = 3;
+/** Interval, per entry of the fleet, at which the entries that do not send to a limited server try it. */
+const trialIntervalPerEntryMs = 2_000;
+const minTrialIntervalMs = 10_000;
+/** A statement older than this is not shared any more. */
+const shareForMs = 5_000;
+/** A smaller number of entries is believed after this time. A control VM that has just started does not know all of them. */
+const shrinkDelayMs = 15_000;
+
+/** Creates limits without any server. */
+export function createServerLimits(nextFloat: () => number): ServerLimits {
+    const states = new Map<string, ServerState>();
+    let position: EntryPosition = { rank: 0, count: 1 };
+    let largerSeenAtMs = -Infinity;
+
+    return {
+        recordAnswer(backendServer, limit, sentAtMs, nowMs) {
+            const state = states.get(backendServer);
+            if (limit.kind === "unreadable" || (limit.kind === "none" && state === undefined)) return "unchanged";
+            // Answers overtake each other: one to a request that was sent before the rate was named says nothing about its end.
+            if (limit.kind === "none" && sentAtMs < state!.statedAtMs) return "unchanged";
+            return update(backendServer, limit.kind === "none" ? undefined : limit.perSecond, nowMs, true, nowMs);
+        },
+        recordShared(backendServer, { perSecond, ageMs }, nowMs) {
+            const statedAtMs = nowMs - ageMs;
+            const state = states.get(backendServer);
+            if (state === undefined ? perSecond === undefined : statedAtMs <= state.statedAtMs) return "unchanged";
+            return update(backendServer, perSecond, statedAtMs, false, nowMs);
+        },
+        recordDispatch(backendServer, nowMs) {
+            const state = states.get(backendServer);
+            if (state?.perSecond === undefined) return;
+            states.set(backendServer, { ...state, nextSendAtMs: nowMs + getIntervalMs(backendServer, state.perSecond) });
+        },
+        getWaitMs(backendServer, nowMs) {
+            const state = states.get(backendServer);
+            return state?.perSecond === undefined ? 0 : Math.max(0, state.nextSendAtMs - nowMs);
+        },
+        getShared,
+        listShared: nowMs => [...states.keys()].filter(name => getShared(name, nowMs) !== undefined),
+        updatePosition(next, nowMs) {
+            if (next.count >= position.count) largerSeenAtMs = nowMs;
+            if (next.count >= position.count || nowMs - largerSeenAtMs > shrinkDelayMs) position = next;
+        },
+        retainServers(names) {
+            for (const name of states.keys()) {
+                if (!names.has(name)) states.delete(name);
+            }
+        },
+    };
+
+    function update(
+        backendServer: string,
+        perSecond: number | undefined,
+        statedAtMs: number,
+        isOwn: boolean,
+        nowMs: number,
+    ): LimitChange {
+        const before = states.get(backendServer);
+        const isNew = perSecond !== undefined && before?.perSecond === undefined;
+        // The first request waits a random part of the interval, so that the entries that learn of the rate together do not send together.
+        const nextSendAtMs = isNew ? nowMs + nextFloat() * getIntervalMs(backendServer, perSecond) : before?.nextSendAtMs ?? nowMs;
+        states.set(backendServer, { perSecond, statedAtMs, isOwn, nextSendAtMs });
+        if (before?.perSecond === perSecond) return "unchanged";
+        return perSecond === undefined ? "ended" : "named";
+    }
+
+    /** Time between two requests of this entry to a server that has named a rate. */
+    function getIntervalMs(backendServer: string, perSecond: number): number {
+        const { rank, count } = position;
+        const senders = Math.min(count, Math.floor(perSecond) + extraSenders);
+        const isSender = (rank + getHash32(backendServer)) % count < senders;
+        const sendIntervalMs = senders * 1_000 / Math.max(perSecond, minPerSecond);
+        return isSender ? sendIntervalMs : Math.max(minTrialIntervalMs, count * trialIntervalPerEntryMs, sendIntervalMs);
+    }
+
+    function getShared(backendServer: string, nowMs: number): SharedLimit | undefined {
+        const state = states.get(backendServer);
+        if (state === undefined || !state.isOwn || nowMs - state.statedAtMs > shareForMs) return undefined;
+        return { perSecond: state.perSecond, ageMs: nowMs - state.statedAtMs };
+    }
+}
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -5,6 +5,7 @@
 import type { Host } from "../../kernel/host.js";
 import { getErrorText, runPeriodically, sleep } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
+import type { EntryPosition } from "./serverLimits.js";
 
 /** Backend servers known to this entry. */
 export interface ServerView {
@@ -25,8 +26,8 @@
     /** Address at which other entries can reach this one. */
     readonly watcher: Address;
     readonly onChange: (servers: readonly BackendServerRecord[]) => void;
-    /** Called after each answer of control, with addresses of some other entries and the total number of entries. */
-    readonly onWatchers: (watchers: readonly Address[], watcherCount: number) => void;
+    /** Called after each answer of control, with addresses of some other entries and this entry's position among all of them. */
+    readonly onWatchers: (watchers: readonly Address[], position: EntryPosition) => void;
 }
 
 /** Creates an empty view. */
@@ -58,7 +59,7 @@
         if (reply === undefined) return sleep(host.timers, retryMs);
         incarnation = reply.incarnation;
         revision = reply.revision;
-        options.onWatchers(reply.watchers, reply.watcherCount);
+        options.onWatchers(reply.watchers, { rank: reply.watcherRank, count: reply.watcherCount });
         const changed = reply.servers.filter(server => table.merge(server, host.clock.nowMs()) === "changed");
         if (changed.length > 0) applyChanges(changed);
     }
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -60,6 +60,13 @@
     readonly slots: number;
 }
 
+/** What an answer says about the rate of requests that its backend server takes from all entries together. */
+export type NamedLimit =
+    | { readonly kind: "none"; }
+    | { readonly kind: "named"; readonly perSecond: number; }
+    /** A rate is named that cannot be read. */
+    | { readonly kind: "unreadable"; };
+
 /** Decoded status and headers of a backend server's answer. */
 export interface ReplyHead {
     readonly status: number;
@@ -74,6 +81,7 @@
     /** True when the body has a content encoding. Backend servers never encode a body, so an intermediary did. */
     readonly isEncoded: boolean;
     readonly load?: ServerLoad;
+    readonly limit: NamedLimit;
     /** Headers that are returned to the caller unchanged. */
     readonly passthroughHeaders: Headers;
 }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -81,6 +81,8 @@
     readonly watchers: readonly string[];
     /** Number of all watching entries, including the caller. */
     readonly watcherCount: number;
+    /** Position of the caller among all watching entries, in the order of their addresses. */
+    readonly watcherRank: number;
     readonly isConnected: boolean;
     /** Time that the call was held for a change. */
     readonly waitedMs: number;
@@ -212,6 +214,16 @@
 /** Type of an entry's procedures. */
 export type EntryRouter = ReturnType<typeof createEntryRouter>;
 
+/** What an entry has learned from an answer about the rate of requests that a backend server takes. */
+export const sharedLimitSchema = z.object({
+    /** Absent if the server no longer names a rate. */
+    perSecond: z.number().nonnegative().optional(),
+    /** Time since the answer. */
+    ageMs: z.number().nonnegative(),
+}).readonly();
+/** What an entry has learned about the rate of requests that a backend server takes. */
+export type SharedLimit = z.infer<typeof sharedLimitSchema>;
+
 /** Unfinished dispatches of one entry to one backend server. */
 export const sharedServerLoadSchema = z.object({
     backendServer: boundedString,
@@ -222,6 +234,7 @@
     waitingTokens: z.number().nonnegative(),
     /** Prompt parts dispatched to this backend server since the previous message. */
     partIds: z.array(boundedString).max(2_000),
+    limit: sharedLimitSchema.optional(),
 }).readonly();
 /** Unfinished dispatches of one entry to one backend server. */
 export type SharedServerLoad = z.infer<typeof sharedServerLoadSchema>;
--- a/src/kernel/diagnostics.ts
+++ b/src/kernel/diagnostics.ts
@@ -32,6 +32,11 @@
     controlUnavailable: { status: 503, title: "Control unavailable", text: "Control cannot be reached." },
     keyConflict: { status: 409, title: "Idempotency key conflict", text: "This idempotency key was used with another body." },
     noBackendServer: { status: 503, title: "No backend server", text: "No backend server can take this request now." },
+    serversLimited: {
+        status: 503,
+        title: "Backend servers limited",
+        text: "All backend servers have limited their rate of requests, and it is used up.",
+    },
     backendServerRefused: { status: 503, title: "Refused", text: "The backend server refused the request before it ran." },
     backendServerDraining: { status: 503, title: "Draining", text: "The backend server takes no new work." },
     backendServerCrashed: { status: 502, title: "Backend server crashed", text: "The backend server stopped while the request ran." },
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -34,6 +34,7 @@
         sink: { hasStarted: false, lastEventId: undefined, start: () => undefined, write: () => Promise.resolve() },
         log: createSilentLogger(),
         onLoad: () => undefined,
+        onLimit: () => undefined,
         onStarted: () => undefined,
     });
     const tookMs = host.clock.nowMs() - startedAtMs;
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -4,6 +4,7 @@
 import { createLoadExchange } from "../src/entry/direct/loadExchange.js";
 import { createLoadTracker } from "../src/entry/direct/loadTracker.js";
 import type { LoadTracker } from "../src/entry/direct/loadTracker.js";
+import { createServerLimits } from "../src/entry/direct/serverLimits.js";
 import { createGatewayRouter } from "../src/kernel/contracts.js";
 import type { SharedServerLoad } from "../src/kernel/contracts.js";
 import { createStopController } from "../src/kernel/tasks.js";
@@ -176,7 +177,11 @@
     const simulation = createSimulation(seed);
     const receivedAtMs = await servePeers(simulation, 12);
     const { host } = simulation.createVm("10.0.0.1");
-    const exchange = createLoadExchange(host, { incarnation: "e0", loads: createLoadTracker() });
+    const exchange = createLoadExchange(host, {
+        incarnation: "e0",
+        loads: createLoadTracker(),
+        limits: createServerLimits(() => 0),
+    });
     const stopping = createStopController();
     exchange.addPeers([...receivedAtMs.keys()]);
     exchange.start(stopping.signal);
--- a/test/rpcLink.test.ts
+++ b/test/rpcLink.test.ts
@@ -28,6 +28,7 @@
     servers: [],
     watchers: [],
     watcherCount: 1,
+    watcherRank: 0,
     isConnected: true,
     waitedMs: 0,
 };
