Do not hold back a prompt part beyond the time that control published

What callers saw: sound prompts with a part that was blamed once are refused after the ten minutes too, until control gets another report. Cause: control drops expired parts only when a report comes, and an entry did not look at the time that is published with each part. Class: an expiry that only its writer enforces.

--- a/src/entry/direct/suspectParts.ts
+++ b/src/entry/direct/suspectParts.ts
@@ -1,6 +1,7 @@
 /** Parts of prompts that one entry suspects of crashing backend servers: those that control has published and those it saw itself. */
 import type { ControlTimeBound } from "../../kernel/controlTime.js";
 import type { Clock } from "../../kernel/host.js";
+import type { SuspectPartView } from "../../kernel/messages.js";
 import { findBlamedPart } from "../../kernel/partBlame.js";
 import type { PartCrash } from "../../kernel/partBlame.js";
 import type { NodeConfiguration } from "../nodeConfiguration.js";
@@ -45,7 +46,7 @@
     const ownCrashes = new Map<string, readonly OwnCrash[]>();
     return {
         getHeldBackMs(partIds) {
-            if (!partIds.some(partId => ownCrashes.has(partId) || configuration.getSuspectParts().has(partId))) return undefined;
+            if (!partIds.some(partId => ownCrashes.has(partId) || getPublished(partId) !== undefined)) return undefined;
             const blamed = findBlamedPart(partIds, mergeCrashes());
             return blamed === undefined ? undefined : getLeftMs(blamed);
         },
@@ -82,9 +83,22 @@
         return (ownCrashes.get(partId) ?? []).filter(own => own.expiresAtMs > nowMs);
     }
 
+    // Control drops expired parts only when it gets another report, so what it published may have expired.
+    function isInForce(part: SuspectPartView): boolean {
+        const controlNowMs = controlTime.getUpperBoundMs();
+        return !Number.isFinite(controlNowMs) || part.expiresAtMs > controlNowMs;
+    }
+
+    function getPublished(partId: string): SuspectPartView | undefined {
+        const part = configuration.getSuspectParts().get(partId);
+        return part !== undefined && isInForce(part) ? part : undefined;
+    }
+
     function mergeCrashes(): ReadonlyMap<string, readonly PartCrash[]> {
         const merged = new Map<string, readonly PartCrash[]>();
-        for (const part of configuration.getSuspectParts().values()) merged.set(part.partId, part.crashes);
+        for (const part of configuration.getSuspectParts().values()) {
+            if (isInForce(part)) merged.set(part.partId, part.crashes);
+        }
         for (const partId of ownCrashes.keys()) {
             const known = merged.get(partId) ?? [];
             const knownIds = new Set(known.map(crash => crash.crashId));
@@ -95,7 +109,7 @@
     }
 
     function getLeftMs(partId: string): number {
-        const published = configuration.getSuspectParts().get(partId);
+        const published = getPublished(partId);
         const publishedLeftMs = published === undefined ? 0 : published.expiresAtMs - controlTime.getUpperBoundMs();
         const ownLeftMs = Math.max(0, ...listOwn(partId).map(own => own.expiresAtMs - clock.nowMs()));
         return Math.max(publishedLeftMs, ownLeftMs);
--- a/test/partBlame.test.ts
+++ b/test/partBlame.test.ts
@@ -1,5 +1,6 @@
 /** Which prompts are held back for crashes of the parts that they contain. */
 import { test } from "tap";
+import { createSuspectParts } from "../src/entry/direct/suspectParts.js";
 import { findBlamedPart } from "../src/kernel/partBlame.js";
 import type { PartCrash } from "../src/kernel/partBlame.js";
 
@@ -51,3 +52,24 @@
     t.equal(findBlamedPart(["first"], new Map([["first", atOnce]])), undefined);
     t.end();
 });
+
+test("a prompt part is no longer held back when the time that control published has passed", t => {
+    const crashes = [1, 2, 3].map(number => ({
+        crashId: `server-${number}`,
+        failureDomain: `d${number}`,
+        isSolo: false,
+        atMs: number * 10_000,
+    }));
+    let controlTimeMs = 40_000;
+    const parts = createSuspectParts({
+        clock: { nowMs: () => 0, wallMs: () => 0 },
+        controlTime: { getUpperBoundMs: () => controlTimeMs },
+        configuration: { getSuspectParts: () => new Map([["bad", { partId: "bad", crashes, expiresAtMs: 600_000 }]]) },
+        ownSuspicionMs: 10_000,
+        publicationMs: 1_000,
+    });
+    t.equal(parts.getHeldBackMs(["first", "bad", "own"]), 560_000);
+    controlTimeMs = 600_000;
+    t.equal(parts.getHeldBackMs(["first", "bad", "own"]), undefined);
+    t.end();
+});
