--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -13,6 +13,8 @@
 import type { Host, HttpRequest, HttpResponse, IncomingResponse, Logger, Network, OutgoingRequest, ServerOptions } from "../kernel/host.js";
 import { createFakeDisk } from "./fakeDisk.js";
 import type { FakeDisk } from "./fakeDisk.js";
+import { createPipe } from "./fakePipe.js";
+import { createTimerHeap } from "./timerHeap.js";
 
 /** Network faults. Delays apply to all traffic, loss and duplication to RPC calls only. */
 export interface NetworkFaults {
@@ -55,14 +57,6 @@
     readonly logLines: string[];
 }
 
-interface Timer {
-    readonly atMs: number;
-    /** Orders timers that are due at the same time. */
-    readonly insertionOrder: number;
-    readonly run: () => void;
-    isCancelled: boolean;
-}
-
 /** State of one process on a VM. */
 interface FakeProcess {
     isAlive: boolean;
@@ -435,85 +429,3 @@
 function lowerCase(headers: Readonly<Record<string, string>>): Readonly<Record<string, string>> {
     return Object.fromEntries(Object.entries(headers).map(([key, value]) => [key.toLowerCase(), value]));
 }
-
-function createPipe(onReaderClosed: () => void) {
-    const chunks: Uint8Array[] = [];
-    let error: Error | undefined;
-    let isEnded = false;
-    let wake: () => void = () => undefined;
-    return {
-        push(chunk: Uint8Array) {
-            chunks.push(chunk);
-            wake();
-        },
-        end() {
-            isEnded = true;
-            wake();
-        },
-        fail(reason: Error) {
-            if (isEnded) return;
-            isEnded = true;
-            error = reason;
-            wake();
-        },
-        isEnded: () => isEnded,
-        async *read(): AsyncGenerator<Uint8Array> {
-            try {
-                for (;;) {
-                    while (chunks.length > 0) yield chunks.shift()!;
-                    if (error !== undefined) throw error;
-                    if (isEnded) return;
-                    await new Promise<void>(resolve => {
-                        wake = resolve;
-                    });
-                }
-            }
-            finally {
-                if (!isEnded) onReaderClosed();
-            }
-        },
-    };
-}
-
-// Binary heap ordered by due time, then by insertion order.
-function createTimerHeap() {
-    const heap: Timer[] = [];
-    let timerCount = 0;
-    const isEarlier = (a: Timer, b: Timer) => a.atMs < b.atMs || (a.atMs === b.atMs && a.insertionOrder < b.insertionOrder);
-    const push = (timer: Timer) => {
-        let position = heap.push(timer) - 1;
-        while (position > 0) {
-            const parent = (position - 1) >> 1;
-            if (isEarlier(heap[parent]!, timer)) break;
-            heap[position] = heap[parent]!;
-            position = parent;
-        }
-        heap[position] = timer;
-    };
-    return {
-        push,
-        add(atMs: number, run: () => void): Timer {
-            const timer: Timer = { atMs, insertionOrder: timerCount++, run, isCancelled: false };
-            push(timer);
-            return timer;
-        },
-        peek: () => heap[0],
-        size: () => heap.length,
-        pop(): Timer | undefined {
-            const top = heap[0];
-            const last = heap.pop();
-            if (top === undefined || last === undefined || heap.length === 0) return top;
-            let position = 0;
-            for (;;) {
-                let child = position * 2 + 1;
-                if (child >= heap.length) break;
-                if (child + 1 < heap.length && isEarlier(heap[child + 1]!, heap[child]!)) child++;
-                if (isEarlier(last, heap[child]!)) break;
-                heap[position] = heap[child]!;
-                position = child;
-            }
-            heap[position] = last;
-            return top;
-        },
-    };
-}
