Revert the queue that accepts waiting connections first

It costs a timer per request and refuses callers, so it goes. Its tests held what they say: the longest wait 195 ms instead of 5,753 ms under a load that is too large, and connections accepted before work.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -24,7 +24,6 @@
 import type { DeliveryResult } from "./delivery.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { createLoadTracker } from "./loadTracker.js";
-import { createRequestQueue } from "./requestQueue.js";
 import { createRetryWindow } from "./retryWindow.js";
 import type { RetryRules } from "./retryWindow.js";
 import { choosePool, createRouteTable } from "./routeTable.js";
@@ -52,8 +51,6 @@
 /** A running gateway. */
 export interface Gateway {
     readonly handle: HttpHandler;
-    /** Must be called for each connection that is accepted from a caller. */
-    readonly recordConnection: () => void;
     /** RPC procedures that other entries call. */
     readonly router: ReturnType<typeof createGatewayRouter>;
     isReady(): boolean;
@@ -78,8 +75,7 @@
 const defaultTimeoutMs = 60_000;
 /** Maximum time that a request waits for a process that has just started to become ready. */
 const startWaitMs = 600;
-/** Callers that return reach another entry, so those that this one cannot take need not wait long. */
-const retryAfterMs = { notReady: 500, stopping: 20, queueFull: 40 } as const;
+const retryAfterMs = { notReady: 500, stopping: 20 } as const;
 
 /** Creates a gateway, which becomes ready after `start`. */
 export function createGateway(host: Host, options: GatewayOptions): Gateway {
@@ -91,7 +87,6 @@
     const lagMonitor = createLagMonitor(host, host.createLogger("process"));
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
-    const requestQueue = createRequestQueue(host);
     const serverLimits = createServerLimits(host.random.nextFloat);
     const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads, limits: serverLimits });
     const servers = createServerView(host, {
@@ -139,7 +134,6 @@
 
     return {
         handle,
-        recordConnection: requestQueue.recordConnection,
         router: createGatewayRouter({ shareLoad: loadExchange.receive }),
         isReady: () => isSynced() && !isStopping,
         statistics,
@@ -206,12 +200,10 @@
         statistics.recordRequest();
         let requestId: string | undefined;
         try {
-            const isAdmitted = await requestQueue.takeTurn();
             const head = protocol.parseRequest(request);
             if ("problem" in head) refuse("badRequest", head.problem);
             requestId = head.requestId;
             if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
-            if (!isAdmitted) refuse("queueFull", undefined, getRetryAfterMs());
             if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
             await waitUntil(host, stateChanged, isSynced, Math.min(startWaitMs, head.timeoutMs ?? startWaitMs));
             await serve(createCall(head, request, arrivedAtMs), response);
@@ -228,10 +220,6 @@
         }
     }
 
-    function getRetryAfterMs(): number {
-        return retryAfterMs.queueFull * (0.5 + host.random.nextFloat());
-    }
-
     function createCall(head: RequestHead, request: HttpRequest, arrivedAtMs: number): DirectCall {
         if (!configuration.isReady()) refuse("notReady", undefined, retryAfterMs.notReady);
         if (limits !== undefined && request.body.length > limits.maxBodyBytes) refuse("bodyTooLarge");
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -71,8 +71,6 @@
     readonly maxBodyBytes: number;
     /** Certificate and key files. Plain HTTP is used without them. */
     readonly tls?: TlsFiles;
-    /** Called for each accepted connection. */
-    readonly onConnection?: () => void;
 }
 
 /** Certificate and key files of a TLS server. */
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -169,10 +169,7 @@
         void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
     };
     const server = await createServer(options, listener);
-    server.on("connection", (socket: Socket) => {
-        connectedAtMs.set(socket, nodeClock.nowMs());
-        options.onConnection?.();
-    });
+    server.on("connection", (socket: Socket) => connectedAtMs.set(socket, nodeClock.nowMs()));
     await listen(server, host, port);
     const boundAddress = server.address() as AddressInfo;
     return {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -319,12 +319,7 @@
         readMetrics: () => readGatewayMetrics(gateway),
         handler: rejectUnauthorized,
     });
-    clientListener = await host.network.serve({
-        address: settings.listen,
-        handler: gateway.handle,
-        maxBodyBytes,
-        onConnection: gateway.recordConnection,
-    });
+    clientListener = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
         await host.network.serve({ address: fleetListen, handler: endpoints, router: gateway.router, maxBodyBytes: maxFleetBodyBytes }),
