--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -25,7 +25,7 @@
     readonly connections: BackendConnections;
     readonly servers: ServerView;
     readonly loads: LoadTracker;
-    readonly limits: ServerLimits;
+    readonly serverLimits: ServerLimits;
     readonly loadExchange: Pick<LoadExchange, "recordDispatch" | "recordLimitChange">;
     readonly retryWindow: RetryWindow;
     readonly crashGuard: CrashGuard;
@@ -133,7 +133,7 @@
     function choosePlacementForCall(): Placement | undefined {
         const nowMs = host.clock.nowMs();
         const untried = options.servers.listPool(call.pool).filter(server => !progress.triedServers.has(server.backendServer));
-        const waitsMs = untried.map(server => options.limits.getWaitMs(server.backendServer, nowMs));
+        const waitsMs = untried.map(server => options.serverLimits.getWaitMs(server.backendServer, nowMs));
         if (untried.length > 0 && waitsMs.every(waitMs => waitMs > 0) && progress.dispatches === 0) {
             progress.verdict = createVerdict("notRun", "serversLimited", undefined, Math.min(...waitsMs) + getRetryAfterMs());
         }
@@ -150,7 +150,7 @@
         progress.triedServers.add(server.backendServer);
         progress.dispatches++;
         progress.placement = placement;
-        options.limits.recordDispatch(server.backendServer, nowMs);
+        options.serverLimits.recordDispatch(server.backendServer, nowMs);
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         options.loadExchange.recordDispatch(server.backendServer, placement.prefillTokens, call.head.promptParts.map(part => part.partId));
         const eventsBefore = progress.deliveredEvents;
@@ -185,7 +185,7 @@
 
     function recordLimit(server: BackendServerRecord, limit: NamedLimit, sentAtMs: number): void {
         const { backendServer, pool } = server;
-        const change = options.limits.recordAnswer(backendServer, limit, sentAtMs, host.clock.nowMs());
+        const change = options.serverLimits.recordAnswer(backendServer, limit, sentAtMs, host.clock.nowMs());
         if (change === "unchanged") return;
         options.loadExchange.recordLimitChange();
         const perSecond = limit.kind === "named" ? limit.perSecond : undefined;
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -88,7 +88,7 @@
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
     const serverLimits = createServerLimits(host.random.nextFloat);
-    const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads, limits: serverLimits });
+    const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads, serverLimits });
     const servers = createServerView(host, {
         control,
         watcher: identity.address,
@@ -259,7 +259,7 @@
                 connections: options.connections,
                 servers,
                 loads,
-                limits: serverLimits,
+                serverLimits,
                 loadExchange,
                 retryWindow,
                 crashGuard,
--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -18,7 +18,7 @@
     /** Incarnation of this entry. */
     readonly incarnation: string;
     readonly loads: LoadTracker;
-    readonly limits: ServerLimits;
+    readonly serverLimits: ServerLimits;
 }
 
 /** The exchange with all other entries. */
@@ -70,7 +70,7 @@
 
 /** Creates an exchange without peers. */
 export function createLoadExchange(host: Host, options: LoadExchangeOptions): LoadExchange {
-    const { incarnation, loads, limits } = options;
+    const { incarnation, loads, serverLimits } = options;
     const log = host.createLogger("loadExchange");
     const clients = createRpcClients<GatewayRouter>(host.network);
     const peers = new Map<Address, Peer>();
@@ -100,7 +100,7 @@
             const nowMs = host.clock.nowMs();
             loads.applyPeerLoad(load, nowMs);
             for (const { backendServer, limit } of load.servers) {
-                const change = limit === undefined ? "unchanged" : limits.recordShared(backendServer, limit, nowMs);
+                const change = limit === undefined ? "unchanged" : serverLimits.recordShared(backendServer, limit, nowMs);
                 if (change === "unchanged") continue;
                 log.info("A backend server changed its request limit.", { backendServer, change, ...limit, from: load.from });
             }
@@ -170,8 +170,8 @@
 
     async function sendLoads(peer: Peer, ownLoads: readonly OwnLoad[], nowMs: number): Promise<void> {
         const { unsentParts: parts } = peer;
-        const servers = createMessage(ownLoads, parts, [...peer.lastListed, ...limits.listShared(nowMs)])
-            .map(server => ({ ...server, limit: limits.getShared(server.backendServer, nowMs) }));
+        const servers = createMessage(ownLoads, parts, [...peer.lastListed, ...serverLimits.listShared(nowMs)])
+            .map(server => ({ ...server, limit: serverLimits.getShared(server.backendServer, nowMs) }));
         peer.unsentParts = new Map();
         peer.lastListed = new Set(ownLoads.map(load => load.backendServer));
         peer.urgentSinceMs = undefined;
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -180,7 +180,7 @@
     const exchange = createLoadExchange(host, {
         incarnation: "e0",
         loads: createLoadTracker(),
-        limits: createServerLimits(() => 0),
+        serverLimits: createServerLimits(() => 0),
     });
     const stopping = createStopController();
     exchange.addPeers([...receivedAtMs.keys()]);
