Tell callers when some entry may send to a limited server, not when this one may

What callers would see: with many entries, most of them send nothing to a server that names a low rate for up to two seconds per entry of the fleet. One of these named that time as Retry-After when all servers of a pool were limited: 62 s at 31 entries for a rate of 1 a second. Cause: the refusal used the entry's own next turn, though the caller's next try may reach another entry. Now the time is that between two requests of the whole fleet, or the own turn if that is sooner. Test in serverLimits.test.ts: own waits of over 30 s, 250 ms told for four servers at 1 a second.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -135,7 +135,9 @@
         const untried = options.servers.listPool(call.pool).filter(server => !progress.triedServers.has(server.backendServer));
         const waitsMs = untried.map(server => options.serverLimits.getWaitMs(server.backendServer, nowMs));
         if (untried.length > 0 && waitsMs.every(waitMs => waitMs > 0) && progress.dispatches === 0) {
-            progress.verdict = createVerdict("notRun", "serversLimited", undefined, Math.min(...waitsMs) + getRetryAfterMs());
+            // A caller that returns may reach another entry, which may be allowed to send earlier than this one.
+            const fleetWaitMs = options.serverLimits.getFleetWaitMs(untried.map(server => server.backendServer), nowMs);
+            progress.verdict = createVerdict("notRun", "serversLimited", undefined, fleetWaitMs + getRetryAfterMs());
         }
         const candidates = untried
             .filter((_, index) => waitsMs[index] === 0)
--- a/src/entry/direct/serverLimits.ts
+++ b/src/entry/direct/serverLimits.ts
@@ -23,6 +23,8 @@
     recordDispatch(backendServer: string, nowMs: number): void;
     /** Time until this entry may send a request to the server. Zero if the server has named no rate. */
     getWaitMs(backendServer: string, nowMs: number): number;
+    /** Time until some entry may be expected to send a request to one of these servers, all of which have used up their rates here. */
+    getFleetWaitMs(backendServers: readonly string[], nowMs: number): number;
     /** Returns what this entry has recently learned from the server's own answers. */
     getShared(backendServer: string, nowMs: number): SharedLimit | undefined;
     /** Servers about which `getShared` has something to say. */
@@ -81,9 +83,11 @@
             if (state?.perSecond === undefined) return;
             states.set(backendServer, { ...state, nextSendAtMs: nowMs + getIntervalMs(backendServer, state.perSecond) });
         },
-        getWaitMs(backendServer, nowMs) {
-            const state = states.get(backendServer);
-            return state?.perSecond === undefined ? 0 : Math.max(0, state.nextSendAtMs - nowMs);
+        getWaitMs,
+        getFleetWaitMs(backendServers, nowMs) {
+            const ownWaitMs = Math.min(...backendServers.map(name => getWaitMs(name, nowMs)));
+            const rates = backendServers.map(name => Math.max(states.get(name)?.perSecond ?? 0, minPerSecond));
+            return Math.min(ownWaitMs, 1_000 / rates.reduce((sum, rate) => sum + rate, 0));
         },
         getShared,
         listShared: nowMs => [...states.keys()].filter(name => getShared(name, nowMs) !== undefined),
@@ -98,6 +102,11 @@
         },
     };
 
+    function getWaitMs(backendServer: string, nowMs: number): number {
+        const state = states.get(backendServer);
+        return state?.perSecond === undefined ? 0 : Math.max(0, state.nextSendAtMs - nowMs);
+    }
+
     function update(
         backendServer: string,
         perSecond: number | undefined,
--- a/test/serverLimits.test.ts
+++ b/test/serverLimits.test.ts
@@ -153,6 +153,20 @@
     t.end();
 });
 
+test("a caller is told when some entry may send, not when this one may", t => {
+    const limits = createServerLimits(() => 0.99);
+    limits.updatePosition({ rank: 0, count: 31 }, 0);
+    for (const server of ["a", "b", "c", "d"]) {
+        limits.recordAnswer(server, { kind: "named", perSecond: 1 }, 0, 0);
+        limits.recordDispatch(server, 1_000);
+    }
+    // Some of these servers get nothing from this entry for a minute, but one request a second from all entries.
+    t.ok(["a", "b", "c", "d"].some(server => limits.getWaitMs(server, 1_000) > 30_000));
+    t.equal(limits.getFleetWaitMs(["a", "b", "c", "d"], 1_000), 250);
+    t.equal(limits.getFleetWaitMs(["a"], 1_000), 1_000);
+    t.end();
+});
+
 test("rates are read from answers", t => {
     const read = (text?: string) => platformProtocol.parseReply(200, text === undefined ? {} : { "server-limit": text }).limit;
     t.same(read(), { kind: "none" });
