Stop telling other entries of a rate that ended long ago

Each answer without a rate renewed the statement that the rate had ended, so that every load message listed the server for good once it had named one. The test in serverLimits.test.ts failed before: still listed 28 s after the end.

--- a/src/entry/direct/serverLimits.ts
+++ b/src/entry/direct/serverLimits.ts
@@ -67,7 +67,8 @@
     return {
         recordAnswer(backendServer, limit, sentAtMs, nowMs) {
             const state = states.get(backendServer);
-            if (limit.kind === "unreadable" || (limit.kind === "none" && state === undefined)) return "unchanged";
+            if (limit.kind === "unreadable") return "unchanged";
+            if (limit.kind === "none" && state?.perSecond === undefined) return "unchanged";
             // Answers overtake each other: one to a request that was sent before the rate was named says nothing about its end.
             if (limit.kind === "none" && sentAtMs < state!.statedAtMs) return "unchanged";
             return update(backendServer, limit.kind === "none" ? undefined : limit.perSecond, nowMs, true, nowMs);
--- a/test/serverLimits.test.ts
+++ b/test/serverLimits.test.ts
@@ -132,6 +132,16 @@
     t.end();
 });
 
+test("the end of a rate is told to other entries for a short time only", t => {
+    const limits = createServerLimits(() => 0.5);
+    limits.recordAnswer("s", { kind: "named", perSecond: 1 }, 0, 0);
+    t.equal(limits.recordAnswer("s", { kind: "none" }, 500, 1_000), "ended");
+    t.same(limits.listShared(1_500), ["s"]);
+    for (let nowMs = 1_500; nowMs < 30_000; nowMs += 500) limits.recordAnswer("s", { kind: "none" }, nowMs - 100, nowMs);
+    t.same(limits.listShared(30_000), []);
+    t.end();
+});
+
 test("what another entry has learned holds unless this entry knows something newer", t => {
     const limits = createServerLimits(() => 0.5);
     t.equal(limits.recordShared("s", { perSecond: 2, ageMs: 100 }, 1_000), "named");
