Do not report delays, or take a whole rate, on the word of a control VM of an earlier version

During a rolling upgrade an entry of this version asks control VMs that send neither the time that they held a watch nor its position. Every long poll would have been logged as delayed, and the position that is not a number decided by accident which servers an entry sends to. Now such replies are not reported, and without a position an entry sends to a limited server only if all entries may. Paths to control that failed are remembered up to 1,000, because relays come and go. controlClient.test.ts failed before: a warning for a watch that was held on purpose.

--- a/src/entry/direct/serverLimits.ts
+++ b/src/entry/direct/serverLimits.ts
@@ -9,7 +9,8 @@
 
 /** Position of this entry among all entries. */
 export interface EntryPosition {
-    readonly rank: number;
+    /** Undefined if control does not say. The entry then sends only where all entries may. */
+    readonly rank?: number | undefined;
     readonly count: number;
 }
 
@@ -128,7 +129,7 @@
     function getIntervalMs(backendServer: string, perSecond: number): number {
         const { rank, count } = position;
         const senders = Math.min(count, Math.floor(perSecond) + extraSenders);
-        const isSender = (rank + getHash32(backendServer)) % count < senders;
+        const isSender = senders === count || (rank !== undefined && (rank + getHash32(backendServer)) % count < senders);
         const sendIntervalMs = senders * 1_000 / Math.max(perSecond, minPerSecond);
         return isSender ? sendIntervalMs : Math.max(minTrialIntervalMs, count * trialIntervalPerEntryMs, sendIntervalMs);
     }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -57,8 +57,11 @@
     readonly isConnected: boolean;
     /** Addresses of all voting control VMs. */
     readonly members: readonly string[];
-    /** Time that the call was held for a change. The caller derives from it how long the reply was on its way. */
-    readonly waitedMs: number;
+    /**
+     * Time that the call was held for a change. The caller derives from it how long the reply was on its way. Absent from a control VM of
+     * an earlier version.
+     */
+    readonly waitedMs?: number;
 }
 
 /** A long poll for changes to backend servers. Revisions are comparable only within one incarnation of a control VM. */
@@ -81,11 +84,11 @@
     readonly watchers: readonly string[];
     /** Number of all watching entries, including the caller. */
     readonly watcherCount: number;
-    /** Position of the caller among all watching entries, in the order of their addresses. */
-    readonly watcherRank: number;
+    /** Position of the caller among all watching entries, in the order of their addresses. Absent from a control VM of an earlier version. */
+    readonly watcherRank?: number;
     readonly isConnected: boolean;
-    /** Time that the call was held for a change. */
-    readonly waitedMs: number;
+    /** Time that the call was held for a change. Absent from a control VM of an earlier version. */
+    readonly waitedMs?: number;
 }
 
 /** Backend server records and watching entries that one control VM gossips to another. */
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -57,6 +57,8 @@
 const delayBetweenRoundsMs = 50;
 /** Time that a long poll and its reply may spend outside of control's wait. A longer one is logged. */
 const slowTransitMs = 250;
+/** Relays come and go, so paths that never work again must not be remembered forever. */
+const maxFailedPaths = 1_000;
 /** Upper limit of the extra time that a long poll may take beyond its own timeout before its path counts as failed. */
 const maxWatchGraceMs = 1_000;
 
@@ -106,17 +108,14 @@
     }
 
     // A control VM that has lost contact with its leader may return stale data, so its reply is discarded.
-    async function callPreferredMember<T extends { readonly isConnected: boolean; readonly waitedMs: number; }>(
+    async function callPreferredMember<T extends { readonly isConnected: boolean; readonly waitedMs?: number; }>(
         send: (client: TRPCClient<ControlRouter>) => Promise<T>,
         timeoutMs: number,
     ): Promise<T | undefined> {
         const path = paths.getPreferredMemberPath();
         const sentAtMs = host.clock.nowMs();
         const reply = await tryOnce(send, path, timeoutMs);
-        const transitMs = host.clock.nowMs() - sentAtMs - (reply?.waitedMs ?? 0);
-        if (reply !== undefined && transitMs >= slowTransitMs) {
-            log.warn("A long poll of control was delayed on its way.", { ...path, waitedMs: reply.waitedMs, transitMs });
-        }
+        if (reply?.waitedMs !== undefined) logSlowTransit(path, reply.waitedMs, host.clock.nowMs() - sentAtMs - reply.waitedMs);
         if (reply?.isConnected !== true) {
             paths.changePreferredMember(path.address);
             return undefined;
@@ -126,6 +125,15 @@
         return reply;
     }
 
+    function logSlowTransit(path: ControlPath, waitedMs: number, transitMs: number): void {
+        if (transitMs < slowTransitMs) return;
+        log.warn("A long poll of control was delayed on its way.", {
+            ...path,
+            waitedMs: Math.round(waitedMs),
+            transitMs: Math.round(transitMs),
+        });
+    }
+
     // Tries one path after another until the leader answers or the timeout expires.
     async function call<T>(
         send: (client: TRPCClient<ControlRouter>) => Promise<ControlReply<T>>,
@@ -193,6 +201,7 @@
 
     function markPathFailed(path: ControlPath, detail: string): void {
         const hadFailed = failedPaths.has(getPathKey(path));
+        if (failedPaths.size >= maxFailedPaths) failedPaths.clear();
         failedPaths.add(getPathKey(path));
         if (!hadFailed) log.warn("A path to a control VM failed.", { address: path.address, relay: path.relay, detail });
         paths.recordFailure(path);
--- a/test/controlClient.test.ts
+++ b/test/controlClient.test.ts
@@ -3,6 +3,7 @@
 import { createControlRouter } from "../src/kernel/contracts.js";
 import type { ControlApi, WatchReply } from "../src/kernel/contracts.js";
 import { createControlClient } from "../src/kernel/controlClient.js";
+import { sleep } from "../src/kernel/tasks.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import type { Simulation } from "../src/standins/fakeHost.js";
 
@@ -14,6 +15,28 @@
     return simulation.logLines.filter(line => line.includes(text)).length;
 }
 
+test("only a reply that says how long it was held is reported as delayed", async t => {
+    const simulation = createSimulation(2);
+    const client = createControlClient(simulation.createVm("10.0.0.9").host, addresses.slice(0, 1));
+    const vm = simulation.createVm("10.0.0.1");
+    let waitedMs: number | undefined;
+    const watch = async () => {
+        await sleep(vm.host.timers, 600);
+        return { ...watchReply, waitedMs };
+    };
+    const router = createControlRouter({ watch } as unknown as ControlApi);
+    await vm.host.network.serve({ address: addresses[0]!, handler: () => Promise.resolve(), router, maxBodyBytes: 1e6 });
+    const count = () => countLines(simulation, "A long poll of control was delayed on its way.");
+    await simulation.runUntil(client.watch(watchRequest));
+    t.equal(count(), 0, "a control VM of an earlier version does not say");
+    waitedMs = 599;
+    await simulation.runUntil(client.watch(watchRequest));
+    t.equal(count(), 0, "held for a change");
+    waitedMs = 1;
+    await simulation.runUntil(client.watch(watchRequest));
+    t.equal(count(), 1, "late on its way");
+});
+
 test("a failed path to control is logged once until it works again", async t => {
     const simulation = createSimulation(1);
     const client = createControlClient(simulation.createVm("10.0.0.9").host, addresses);
--- a/test/serverLimits.test.ts
+++ b/test/serverLimits.test.ts
@@ -177,6 +177,18 @@
     t.end();
 });
 
+test("an entry that does not know its position sends to a limited server only if all entries may", t => {
+    const limits = createServerLimits(() => 0.5);
+    limits.updatePosition({ count: 24 }, 0);
+    limits.recordAnswer("low", { kind: "named", perSecond: 1 }, 0, 0);
+    limits.recordAnswer("high", { kind: "named", perSecond: 48 }, 0, 0);
+    limits.recordDispatch("low", 1_000);
+    limits.recordDispatch("high", 1_000);
+    t.equal(limits.getWaitMs("low", 1_000), 48_000);
+    t.equal(limits.getWaitMs("high", 1_000), 500);
+    t.end();
+});
+
 test("rates are read from answers", t => {
     const read = (text?: string) => platformProtocol.parseReply(200, text === undefined ? {} : { "server-limit": text }).limit;
     t.same(read(), { kind: "none" });
