--- a/bench/logBench.ts
+++ b/bench/logBench.ts
@@ -6,6 +6,7 @@
 import type { Host } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { initializeControl, startControl } from "../src/wiring.js";
 import type { RunningProcess } from "../src/wiring.js";
 import { createConfigurationObjects } from "./fleet.js";
@@ -15,7 +16,6 @@
 const runMs = 2_000;
 const accountCount = 8_900;
 const budgetCount = 11_000;
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 
 /** Measures the commit rate of one and of three voters, then the restart of a voter that holds a state of the target size. */
 export async function measureLog() {
--- a/bench/overheadBench.ts
+++ b/bench/overheadBench.ts
@@ -8,12 +8,12 @@
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createModelEngine } from "../src/standins/modelEngine.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
 import { createConfigurationObjects, getApiKey } from "./fleet.js";
 
 const requestCount = 600;
 const concurrency = 8;
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 
 /** Measures latency quantiles and request rates through entry and agent and directly, and their ratios. */
 export async function measureOverhead() {
--- a/bench/slopeCalls.ts
+++ b/bench/slopeCalls.ts
@@ -4,6 +4,7 @@
 import type { EntryRouter } from "../src/kernel/contracts.js";
 import { createNodeHost, fleetSecretHeader } from "../src/kernel/hostNode.js";
 import { createRpcClients } from "../src/kernel/rpc.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { measureCpuMicros } from "./measureCost.js";
 import { createReport } from "./reports.js";
 
@@ -21,7 +22,6 @@
 
 /** Measures calls that carry a load report, sent one by one and in batches. */
 export async function measureCalls(): Promise<CallCosts> {
-    const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
     const host = createNodeHost({ fleetSecret, createLogger: createSilentLogger });
     const router = createEntryRouter({ report: () => Promise.resolve({ nextReportMs: 500, wantsAgent: false }) });
     const listener = await host.network.serve({
--- a/bench/trial.ts
+++ b/bench/trial.ts
@@ -17,6 +17,7 @@
 import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { countPromptTokens, createModelEngine, getExpectedAnswer } from "../src/standins/modelEngine.js";
 import { createPlainService } from "../src/standins/plainService.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { sendChat, sendOrder } from "./caller.js";
 import type { CallerRecord } from "./caller.js";
 import { createConfigurationObjects } from "./fleet.js";
@@ -28,7 +29,6 @@
 const operatorToken = "trial-token";
 const accounts = ["a", "b"] as const;
 const toppedUpTokens = { a: 1_000_000, b: 6_000 } as const;
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const settleTimeoutMs = 200_000;
 
 interface TrialProcess {
--- a/test/absentCaller.test.ts
+++ b/test/absentCaller.test.ts
@@ -4,8 +4,8 @@
 import type { HttpHandler } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
 const callerCount = 60;
 
--- a/test/brokenAnswers.test.ts
+++ b/test/brokenAnswers.test.ts
@@ -3,8 +3,8 @@
 import { test } from "tap";
 import type { ServerOptions } from "../src/kernel/host.js";
 import { createNodeHost, parseAddress } from "../src/kernel/hostNode.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const host = createNodeHost({ fleetSecret: "secret", createLogger: createSilentLogger });
 
 test("an answer without a length that is broken off does not look complete to its caller", async t => {
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -10,8 +10,8 @@
 import type { BackendServerRecord } from "../src/kernel/directory.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { readAll, readLines } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
 /** Long enough that an attempt that only its deadline ends fails the test. */
 const deadlineMs = 20_000;
--- a/test/realHost.test.ts
+++ b/test/realHost.test.ts
@@ -10,9 +10,9 @@
 import { createAdministrationClient } from "../src/operator/client.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createModelEngine, getExpectedAnswer } from "../src/standins/modelEngine.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { initializeControl, startAgent, startControl, startEntry } from "../src/wiring.js";
 
-const createSilentLogger = () => ({ debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined });
 const secret = "test-secret";
 const clientKey = "real-key";
 const model = "real-model";
--- a/test/rpcLink.test.ts
+++ b/test/rpcLink.test.ts
@@ -9,6 +9,7 @@
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { createRpcClients, rpc } from "../src/kernel/rpc.js";
 import { sleep } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { startRelay } from "../src/wiring.js";
 
 const secret = "test-secret";
@@ -17,8 +18,7 @@
 const heldAfterMs = 2_000;
 
 function createHost(): Host {
-    const ignore = () => undefined;
-    return createNodeHost({ fleetSecret: secret, createLogger: () => ({ debug: ignore, info: ignore, warn: ignore, error: ignore }) });
+    return createNodeHost({ fleetSecret: secret, createLogger: createSilentLogger });
 }
 
 const watchReply: WatchReply = { revision: 7, recalledBudgets: [], isConnected: true, members: [], waitedMs: 0 };
