--- a/bench/slopeCalls.ts
+++ b/bench/slopeCalls.ts
@@ -2,7 +2,8 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { createEntryRouter } from "../src/kernel/contracts.js";
 import type { EntryRouter } from "../src/kernel/contracts.js";
-import { createNodeHost, fleetSecretHeader } from "../src/kernel/hostNode.js";
+import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
 import { createRpcClients } from "../src/kernel/rpc.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { measureCpuMicros } from "./measureCost.js";
--- a/src/agent/relay.ts
+++ b/src/agent/relay.ts
@@ -3,7 +3,7 @@
  * calls. Control decides by the contents of a call alone, so no guarantee depends on the relay.
  */
 import type { Host, HttpHandler, HttpRequest, HttpResponse } from "../kernel/host.js";
-import { relayPrefix } from "../kernel/hostNode.js";
+import { relayPrefix } from "../kernel/rpcLinks.js";
 import { getErrorText } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
 
--- /dev/null
+++ b/src/kernel/httpServer.ts
@@ -0,0 +1,198 @@
+/** HTTP server of the production host. */
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { promises as fs } from "node:fs";
+import * as http from "node:http";
+import * as https from "node:https";
+import type { AddressInfo, Socket } from "node:net";
+import { isIP } from "node:net";
+import VError from "verror";
+import { flattenHeaders } from "./backendConnections.js";
+import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
+import type { Clock, HttpRequest, HttpResponse, Listener, ServerOptions } from "./host.js";
+import type { Address } from "./types.js";
+
+const keepAliveTimeoutMs = 60_000;
+const headersTimeoutMs = 30_000;
+const closeGraceMs = 500;
+const maxHeaderSizeBytes = 16_384;
+
+/** Starts a server. */
+export async function serve(options: ServerOptions, fleetSecret: string, clock: Clock): Promise<Listener> {
+    const { host, port } = parseAddress(options.address);
+    const rpc = options.router === undefined ? undefined : createHTTPHandler({
+        router: options.router,
+        basePath: "/rpc/",
+        allowBatching: true,
+        allowMethodOverride: true,
+        maxBodySize: options.maxBodyBytes,
+    });
+    const connectedAtMs = new WeakMap<Socket, number>();
+    const listener: http.RequestListener = (incoming, outgoing) => {
+        if (incoming.url?.startsWith("/rpc/")) {
+            if (rpc === undefined || !isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
+                outgoing.writeHead(401).end();
+                return;
+            }
+            rpc(incoming, outgoing);
+            return;
+        }
+        const nowMs = clock.nowMs();
+        void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
+    };
+    const server = await createServer(options, listener);
+    server.on("connection", (socket: Socket) => connectedAtMs.set(socket, clock.nowMs()));
+    await listen(server, host, port);
+    const boundAddress = server.address() as AddressInfo;
+    return {
+        address: `${host}:${boundAddress.port}`,
+        async reloadTls() {
+            if (options.tls !== undefined && server instanceof https.Server) server.setSecureContext(await readTls(options));
+        },
+        closeIdleConnections: () => server.closeIdleConnections(),
+        close() {
+            return closeServer(server);
+        },
+    };
+}
+
+// By now the process has finished its work. Idle keep-alive connections are closed at once, long polls after a grace period.
+function closeServer(server: http.Server): Promise<void> {
+    return new Promise(resolve => {
+        const forceCloseTimer = setTimeout(() => server.closeAllConnections(), closeGraceMs);
+        server.close(() => {
+            clearTimeout(forceCloseTimer);
+            resolve();
+        });
+        server.closeIdleConnections();
+    });
+}
+
+async function createServer(options: ServerOptions, listener: http.RequestListener): Promise<http.Server> {
+    const serverOptions = { headersTimeout: headersTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderSizeBytes };
+    if (options.tls === undefined) return http.createServer(serverOptions, listener);
+    return https.createServer({ ...serverOptions, ...await readTls(options) }, listener);
+}
+
+async function readTls(options: ServerOptions): Promise<{ readonly cert: Buffer; readonly key: Buffer; }> {
+    const tls = options.tls!;
+    return { cert: await fs.readFile(tls.certificateFile), key: await fs.readFile(tls.keyFile) };
+}
+
+function listen(server: http.Server, host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", error => reject(new VError(error, "cannot listen on %s:%d", host, port)));
+        server.listen(port, host, resolve);
+    });
+}
+
+/** Splits an address into host and port. Throws if it is not an IP address with a port. */
+export function parseAddress(address: Address): { readonly host: string; readonly port: number; } {
+    const match = /^(.+):(\d{1,5})$/.exec(address);
+    const host = match?.[1]?.replace(/^\[|\]$/g, "") ?? "";
+    const port = Number(match?.[2] ?? NaN);
+    if (isIP(host) === 0 || !(port <= 65_535)) throw new VError("%s is not an IP address with a port", JSON.stringify(address));
+    return { host, port };
+}
+
+async function handle(
+    options: ServerOptions,
+    incoming: http.IncomingMessage,
+    outgoing: http.ServerResponse,
+    connectionAgeMs: number,
+): Promise<void> {
+    const disconnected = new AbortController();
+    const { socket } = incoming;
+    const onDisconnect = () => disconnected.abort();
+    // The end of the client's data is known several event loop turns before the response is closed.
+    socket.once("end", onDisconnect);
+    outgoing.on("close", () => {
+        socket.off("end", onDisconnect);
+        if (!outgoing.writableFinished) onDisconnect();
+    });
+    const response = createResponse(outgoing);
+    try {
+        const body = await readBody(incoming, options.maxBodyBytes);
+        await pollNetwork();
+        if (body === undefined) {
+            // The rest of the body is not read, so the connection cannot be reused.
+            response.start(413, { "content-type": "application/problem+json", "connection": "close", "lovage-verdict": "not-run" });
+            await response.write(
+                Buffer.from(JSON.stringify({ code: "bodyTooLarge", status: 413, detail: "The body is larger than the limit." })),
+            );
+            response.end();
+            return;
+        }
+        const request: HttpRequest = {
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: flattenHeaders(incoming.headers),
+            body,
+            signal: disconnected.signal,
+            connectionAgeMs,
+        };
+        await options.handler(request, response);
+    }
+    catch {
+        response.abort();
+    }
+}
+
+/**
+ * Lets the event loop read what has already arrived on all connections, such as the close of the one whose request was just read. Node.js
+ * reads it in the next poll phase, which a timer need not wait for.
+ */
+function pollNetwork(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
+async function readBody(incoming: http.IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
+    const parts: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const part of incoming) {
+        sizeBytes += (part as Buffer).length;
+        if (sizeBytes > maxBytes) return undefined;
+        parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts);
+}
+
+function createResponse(outgoing: http.ServerResponse): HttpResponse {
+    let hasVerifiableEnd = true;
+    return {
+        get hasStarted() {
+            return outgoing.headersSent;
+        },
+        start(status, headers, isCloseDelimited = false) {
+            hasVerifiableEnd = !isCloseDelimited;
+            if (isCloseDelimited) {
+                outgoing.removeHeader("transfer-encoding");
+                outgoing.shouldKeepAlive = false;
+            }
+            outgoing.writeHead(status, headers);
+            outgoing.flushHeaders();
+        },
+        write(chunk) {
+            if (outgoing.destroyed || outgoing.write(chunk)) return Promise.resolve();
+            return new Promise(resolve => {
+                const onWritable = () => {
+                    outgoing.off("drain", onWritable);
+                    outgoing.off("close", onWritable);
+                    resolve();
+                };
+                outgoing.on("drain", onWritable);
+                outgoing.on("close", onWritable);
+            });
+        },
+        end: () => void outgoing.end(),
+        abort() {
+            // Only a reset shows the client of a close-delimited body that the end is not that of the body.
+            if (!hasVerifiableEnd) outgoing.socket?.resetAndDestroy();
+            outgoing.destroy();
+        },
+    };
+}
+
+function getHeader(incoming: http.IncomingMessage, headerName: string): string | undefined {
+    const value = incoming.headers[headerName];
+    return Array.isArray(value) ? value[0] : value;
+}
--- a/test/brokenAnswers.test.ts
+++ b/test/brokenAnswers.test.ts
@@ -2,7 +2,8 @@
 import { connect } from "node:net";
 import { test } from "tap";
 import type { ServerOptions } from "../src/kernel/host.js";
-import { createNodeHost, parseAddress } from "../src/kernel/hostNode.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
+import { parseAddress } from "../src/kernel/httpServer.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 const host = createNodeHost({ fleetSecret: "secret", createLogger: createSilentLogger });
