Know how busy a process is: utilization of its event loop beside the lag of its timers

Nothing could tell a full process from an idle one. Change: kernel/capacity.ts takes the place of lagMonitor.ts. Every 250 ms it measures the busy share of the time (Host.processor, performance.eventLoopUtilization on Node.js), and tells whether the process is saturated: above 0.9 in two windows in a row, until one is below 0.7, at least 1 s in each state. One log line at each change, two gauges. The timer lag is measured as before, every 125 ms instead of 100, so that one timer serves both.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -2,12 +2,13 @@
  * Serves requests to backend servers without agents. Each request passes through routing, authentication, ingress limits, budget
  * reservation, delivery and settlement, and is answered as soon as its outcome is known.
  */
+import { createCapacity } from "../../kernel/capacity.js";
+import type { Capacity } from "../../kernel/capacity.js";
 import { createGatewayRouter } from "../../kernel/contracts.js";
 import type { ControlClient } from "../../kernel/controlClient.js";
 import { messages } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { BackendConnections, Host, HttpHandler, HttpRequest, HttpResponse } from "../../kernel/host.js";
-import { createLagMonitor } from "../../kernel/lagMonitor.js";
 import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
 import { createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { ProcessIdentity } from "../../kernel/types.js";
@@ -58,8 +59,7 @@
     getVersion(): number;
     /** Time since control last answered the watch for a newer configuration. */
     getConfigurationAgeMs(): number;
-    /** Delay of the timers of this process. */
-    getLagMs(): number;
+    readonly capacity: Capacity;
     start(): void;
     stop(): Promise<void>;
 }
@@ -84,7 +84,7 @@
     const stopController = createStopController();
     const loads = createLoadTracker();
     const stateChanged = createNotifier(host.timers);
-    const lagMonitor = createLagMonitor(host, host.createLogger("process"));
+    const capacity = createCapacity(host, host.createLogger("process"));
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
     const serverLimits = createServerLimits(host.random.nextFloat);
@@ -139,12 +139,12 @@
         statistics,
         getVersion: () => configuration.version,
         getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
-        getLagMs: lagMonitor.getLagMs,
+        capacity,
         start() {
             configuration.start(stopController.signal);
             servers.start(stopController.signal);
             loadExchange.start(stopController.signal);
-            lagMonitor.start(stopController.signal);
+            capacity.start(stopController.signal);
             leases.start(stopController.signal);
             crashGuard.start(stopController.signal);
         },
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -23,6 +23,12 @@
     after(delayMs: number, callback: () => void): Cancel;
 }
 
+/** Use of the processor by the process. */
+export interface Processor {
+    /** Time in which the event loop was busy since an arbitrary start. Time for which a busy process waits for a processor is part of it. */
+    getBusyMs(): number;
+}
+
 /** Source of random numbers. */
 export interface RandomSource {
     /** Returns a uniformly distributed number in [0, 1). */
@@ -169,6 +175,7 @@
 export interface Host {
     readonly clock: Clock;
     readonly timers: Timers;
+    readonly processor: Processor;
     readonly random: RandomSource;
     readonly network: Network;
     readonly disk: Disk;
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -33,6 +33,7 @@
                 return () => clearTimeout(timer);
             },
         },
+        processor: { getBusyMs: () => performance.eventLoopUtilization().active },
         random: {
             nextFloat: () => randomInt(randomRange) / randomRange,
             nextId: () => randomBytes(12).toString("base64url"),
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -64,6 +64,8 @@
     frozenUntilMs: number;
     /** Until this time the process computes. Its clock shows this time already. */
     computesUntilMs: number;
+    /** Sum of the durations of its computations. */
+    busyMs: number;
     /** Called when the process is killed. */
     readonly onExit: Set<() => void>;
 }
@@ -174,6 +176,7 @@
             },
             compute(durationMs) {
                 currentProcess.computesUntilMs = getProcessTimeMs(currentProcess) + durationMs;
+                currentProcess.busyMs += durationMs;
                 currentProcess.frozenUntilMs = Math.max(currentProcess.frozenUntilMs, currentProcess.computesUntilMs);
             },
             restart() {
@@ -199,6 +202,7 @@
             timers: {
                 after: (delayMs, callback) => after(getProcessTimeMs(owner) - nowMs + delayMs, () => runWhenUnfrozen(owner, callback)),
             },
+            processor: { getBusyMs: () => owner.busyMs },
             random: {
                 nextFloat: random,
                 nextId: () => Array.from({ length: 3 }, () => Math.floor(random() * 2 ** 32).toString(36).padStart(7, "0")).join(""),
@@ -414,7 +418,7 @@
 const maxLogLines = 20_000;
 
 function createProcess(): FakeProcess {
-    return { isAlive: true, frozenUntilMs: 0, computesUntilMs: 0, onExit: new Set() };
+    return { isAlive: true, frozenUntilMs: 0, computesUntilMs: 0, busyMs: 0, onExit: new Set() };
 }
 
 // Runs all pending promise callbacks before virtual time advances.
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -21,13 +21,14 @@
 import type { DirectProtocol } from "./entry/direct/types.js";
 import { createEntry } from "./entry/entry.js";
 import type { Entry, EntryOptions } from "./entry/entry.js";
+import { createCapacity } from "./kernel/capacity.js";
+import type { Capacity } from "./kernel/capacity.js";
 import { createControlClient } from "./kernel/controlClient.js";
 import type { ControlClient } from "./kernel/controlClient.js";
 import { createControlPaths } from "./kernel/controlPaths.js";
 import { createProcessHandler } from "./kernel/endpoints.js";
 import { fleetSecretHeader, isSameSecret } from "./kernel/fleetSecret.js";
 import type { Host, HttpRequest, Listener, ServerOptions, TlsFiles } from "./kernel/host.js";
-import { createLagMonitor } from "./kernel/lagMonitor.js";
 import type { AgentAnnouncement } from "./kernel/messages.js";
 import { readHistogram } from "./kernel/metrics.js";
 import type { MetricReading } from "./kernel/metrics.js";
@@ -229,11 +230,12 @@
     const control = createControlClient(host, paths, seededClientTiming);
     const updateMembers = () => paths.updateMembers(getVoters(localControl.replica.getStatus().membership).map(voter => voter.address));
     const memberUpdates = createStopController();
-    createLagMonitor(host, host.createLogger("process")).start(memberUpdates.signal);
+    const capacity = createCapacity(host, host.createLogger("process"));
+    capacity.start(memberUpdates.signal);
     void runPeriodically(host.timers, memberUpdateIntervalMs, memberUpdates.signal, async () => updateMembers(), () => undefined);
     const handler = createProcessHandler({
         isReady: localControl.isReady,
-        readMetrics: () => readControlMetrics(localControl),
+        readMetrics: () => [...readControlMetrics(localControl), ...readCapacityMetrics(capacity)],
         handler: rejectUnauthorized,
     });
     const listeners = [
@@ -435,7 +437,8 @@
     return [
         ...readRequestMetrics(gateway),
         { name: "lovage_entry_abandoned", help: "callers that left before their answer was complete", value: abandoned },
-        { name: "lovage_entry_timer_lag_ms", help: "delay of the timers of this process", value: gateway.getLagMs() },
+        { name: "lovage_entry_timer_lag_ms", help: "delay of the timers of this process", value: gateway.capacity.getLagMs() },
+        ...readCapacityMetrics(gateway.capacity),
     ];
 }
 
@@ -463,6 +466,21 @@
     ];
 }
 
+function readCapacityMetrics(capacity: Capacity): readonly MetricReading[] {
+    return [
+        {
+            name: "lovage_process_utilization",
+            help: "share of the time in which the event loop was busy",
+            value: capacity.getUtilization(),
+        },
+        {
+            name: "lovage_process_saturated",
+            help: "1 while the process has more to do than it can do",
+            value: capacity.isSaturated() ? 1 : 0,
+        },
+    ];
+}
+
 function readAgentMetrics(agent: Agent): readonly MetricReading[] {
     return [{ name: "lovage_agent_running_requests", help: "requests that run now", value: agent.getRunningCount() }];
 }
