Count a reply that has arrived as answered, also if this process was too busy to read it

Cause: timers run before input that waits in sockets. A process whose event loop was busy over a timeout took the reply that was there for missing: it recorded the path as failed, sent copies over relays, probed, and believed its tokens to be out of reach. Class: the process's own lateness read as another's failure. All calls between processes go through withTimeout and hedge.

Change: a timeout expires after what had arrived by then has been read (afterArrivals: two more turns of the event loop).

--- a/src/kernel/hedge.ts
+++ b/src/kernel/hedge.ts
@@ -1,6 +1,6 @@
 /** Hedged calls (Dean and Barroso, "The Tail at Scale", 2013): if the first call is slow, a second one is sent on another path. */
 import type { Timers } from "./host.js";
-import { sleep } from "./tasks.js";
+import { afterArrivals } from "./tasks.js";
 
 /** The first reply, and the call that received it. `winner` is undefined if neither call received one. */
 export interface HedgedReply<T> {
@@ -18,7 +18,7 @@
     startSecond: () => Promise<T | undefined>,
     delayMs: number,
 ): Promise<HedgedReply<T>> {
-    const earlyReply = await Promise.race([first.then(reply => ({ reply })), sleep(timers, delayMs)]);
+    const earlyReply = await Promise.race([first.then(reply => ({ reply })), waitForDelay()]);
     if (earlyReply !== undefined) return { reply: earlyReply.reply, winner: earlyReply.reply === undefined ? undefined : "first" };
     const second = startSecond();
     return new Promise(resolve => {
@@ -31,4 +31,9 @@
         void first.then(createReplyHandler("first"));
         void second.then(createReplyHandler("second"));
     });
+
+    // A reply that has arrived is not slow, even if this process was too busy to read it.
+    function waitForDelay(): Promise<undefined> {
+        return new Promise(resolve => void afterArrivals(timers, delayMs, () => resolve(undefined)));
+    }
 }
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -1,7 +1,7 @@
 /** Helpers for asynchronous tasks: sleeping, timeouts, notifications, periodic tasks, and reading of byte streams. */
 import { setMaxListeners } from "node:events";
 import VError from "verror";
-import type { Clock, Host, Timers } from "./host.js";
+import type { Cancel, Clock, Host, Timers } from "./host.js";
 
 /** Thrown if an operation does not finish within its timeout. */
 export class TimeoutError extends Error {
@@ -25,10 +25,27 @@
     });
 }
 
-/** Settles like the promise, or rejects with a `TimeoutError` after the timeout. The operation itself is not cancelled. */
+/**
+ * Runs the callback after the delay, once everything that had arrived by then has been processed. A timer runs before input that waits to
+ * be read, so in a process whose event loop was busy a plain timer takes replies that are there for missing ones.
+ */
+export function afterArrivals(timers: Timers, delayMs: number, callback: () => void): Cancel {
+    // The event loop reads input between two timers. A reply can take two reads, one for its head and one for its body.
+    let cancel = timers.after(delayMs, () => {
+        cancel = timers.after(0, () => {
+            cancel = timers.after(0, callback);
+        });
+    });
+    return () => cancel();
+}
+
+/**
+ * Settles like the promise, or rejects with a `TimeoutError` after the timeout. A result that had arrived before the timeout counts, also
+ * if this process was too busy to read it in time. The operation itself is not cancelled.
+ */
 export function withTimeout<T>(timers: Timers, promise: Promise<T>, timeoutMs: number, operation: string): Promise<T> {
     return new Promise((resolve, reject) => {
-        const cancel = timers.after(timeoutMs, () => reject(new TimeoutError(`${operation} took longer than ${timeoutMs} ms`)));
+        const cancel = afterArrivals(timers, timeoutMs, () => reject(new TimeoutError(`${operation} took longer than ${timeoutMs} ms`)));
         promise.then(
             value => {
                 cancel();
