Send fewer load messages the less time a process has left

Cause: an entry sent 25 load messages a second however full it was, and took as many.

Change: the exchange asks the process's capacity: 25 messages a second up to a utilization of 0.5, evenly fewer down to 3 at 0.9.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -88,7 +88,12 @@
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
     const serverLimits = createServerLimits(host.random.nextFloat);
-    const loadExchange = createLoadExchange(host, { incarnation: identity.incarnation, loads, serverLimits });
+    const loadExchange = createLoadExchange(host, {
+        incarnation: identity.incarnation,
+        loads,
+        serverLimits,
+        getUtilization: capacity.getUtilization,
+    });
     const servers = createServerView(host, {
         control,
         watcher: identity.address,
--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -10,7 +10,8 @@
 import { createNotifier, getErrorText, withTimeout } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import type { LoadTracker } from "./loadTracker.js";
-import { createMessagePacer } from "./messagePacer.js";
+import { createMessagePacer, getMessageRate } from "./messagePacer.js";
+import type { MessageRates } from "./messagePacer.js";
 import type { ServerLimits } from "./serverLimits.js";
 
 /** Options of a load exchange. */
@@ -19,6 +20,8 @@
     readonly incarnation: string;
     readonly loads: LoadTracker;
     readonly serverLimits: ServerLimits;
+    /** Share of the last moments in which this process was busy, from 0 to 1. */
+    readonly getUtilization: () => number;
 }
 
 /** The exchange with all other entries. */
@@ -59,8 +62,8 @@
 const refreshIntervalMs = 400;
 /** Interval of messages to a peer while there is nothing new. Must be shorter than the time after which peers drop a report. */
 const idleRefreshIntervalMs = 1_000;
-/** Keeps the exchange a small part of an entry's work, because each message costs both entries processor time. */
-const messagesPerSecond = 25;
+/** Each message costs both entries processor time, which requests need first. */
+const messageRates: MessageRates = { mostPerSecond: 25, leastPerSecond: 3, relaxedUtilization: 0.5, fullUtilization: 0.9 };
 const maxBurstMessages = 4;
 const sendTimeoutMs = 300;
 const retryMs = 400;
@@ -74,7 +77,7 @@
     const log = host.createLogger("loadExchange");
     const clients = createRpcClients<GatewayRouter>(host.network);
     const peers = new Map<Address, Peer>();
-    const pacer = createMessagePacer(messagesPerSecond, maxBurstMessages);
+    const pacer = createMessagePacer(() => getMessageRate(messageRates, options.getUtilization()), maxBurstMessages);
     const scheduleChanged = createNotifier(host.timers);
     let sequence = 0;
 
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -181,6 +181,7 @@
         incarnation: "e0",
         loads: createLoadTracker(),
         serverLimits: createServerLimits(() => 0),
+        getUtilization: () => 0,
     });
     const stopping = createStopController();
     exchange.addPeers([...receivedAtMs.keys()]);
