Read what has arrived on a kept connection before the next request is sent on it

Callers could see: an answer that a faulty backend server wrote once more, unasked, taken as the answer to the next request on the connection. If it was a refusal without an id, they were told "not run" (503) for a request that was then run, or it ran at a second server.

Cause: undici closes an idle connection on which bytes arrive, and waits one turn of the event loop (setImmediate) before it sends on a kept connection, so that bytes that have arrived are read first. A wait that begins in the poll phase (after an answer, a failed attempt or a reply of control was read) ends in the check phase right behind it, before anything more is read. What arrived while a busy process worked through that turn was read only after the request was sent, as its answer.

Fix: a kept connection is used in the check phase, so that undici's own wait spans a whole poll phase. The cost is one turn of the event loop for a request on a kept connection that begins in the poll phase.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -36,6 +36,7 @@
             // When the caller stops reading the response, only the abort signal releases the connection.
             request.signal?.addEventListener("abort", release, { once: true });
             try {
+                if (connection.client.stats.connected) await leavePollPhase();
                 const response = await send(connection, request);
                 return { ...response, body: readBody(connection, response, release) };
             }
@@ -110,6 +111,14 @@
     }
 }
 
+/**
+ * Lets a kept connection read what arrived on it while it was idle, and close because of it: such bytes answer no request. undici waits
+ * for one more turn of the event loop before it sends, but a wait that begins in the poll phase ends before anything more is read.
+ */
+function leavePollPhase(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
+
 function canConnect(address: Address, timeoutMs: number): Promise<boolean> {
     const { hostname, port } = new URL(`http://${address}`);
     const connect = buildConnector({ timeout: timeoutMs });
