Close the connection of an answer that is not believed, also when it has come whole

Callers could see: after a faulty backend server had written an earlier answer once more, the next requests on the same connection failed too (502), one after the other, each with the answer of the one before. The request that got the wrong answer went on at the backend server, which did not see that nobody waited for it, and the connection was used for another request meanwhile.

Cause: an attempt gives up an answer that belongs to another request, or is encoded or unsealed, by aborting its signal, which by its contract closes the connection. undici ignores the abort once the whole response has arrived, even if nobody has read its body.

Fix: the pool itself closes the socket when the signal is aborted before the body has been read to its end; after that the connection may belong to another request and is left alone.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -38,7 +38,12 @@
             try {
                 if (connection.client.stats.connected) await leavePollPhase();
                 const response = await send(connection, request);
-                return { ...response, body: readBody(connection, response, release) };
+                const cancelClose = closeOnAbort(connection, request.signal);
+                const releaseAfterBody = () => {
+                    cancelClose();
+                    release();
+                };
+                return { ...response, body: readBody(connection, response, releaseAfterBody) };
             }
             catch (error) {
                 release();
@@ -111,6 +116,15 @@
     }
 }
 
+/** undici does not close the connection of a response that has arrived in full, even if nobody has read it. Returns what ends the watch. */
+function closeOnAbort(connection: Connection, signal: AbortSignal | undefined): () => void {
+    const { socket } = connection;
+    const close = () => void socket?.destroy();
+    if (signal?.aborted === true) close();
+    signal?.addEventListener("abort", close, { once: true });
+    return () => signal?.removeEventListener("abort", close);
+}
+
 /**
  * Lets a kept connection read what arrived on it while it was idle, and close because of it: such bytes answer no request. undici waits
  * for one more turn of the event loop before it sends, but a wait that begins in the poll phase ends before anything more is read.
--- /dev/null
+++ b/test/realDelivery.ts
@@ -0,0 +1,178 @@
+/** Test fixture: the delivery of requests over real sockets, between a raw caller and raw backend servers that a script drives. */
+import * as net from "node:net";
+import { platformProtocol } from "../platform/requests.js";
+import { deliver } from "../src/entry/direct/delivery.js";
+import type { DeliveryResult } from "../src/entry/direct/delivery.js";
+import { createLoadTracker } from "../src/entry/direct/loadTracker.js";
+import { createRetryWindow } from "../src/entry/direct/retryWindow.js";
+import { createServerLimits } from "../src/entry/direct/serverLimits.js";
+import type { DirectCall, NamedLimit, ServerLoad } from "../src/entry/direct/types.js";
+import { messages } from "../src/kernel/diagnostics.js";
+import type { BackendServerRecord } from "../src/kernel/directory.js";
+import type { HttpRequest } from "../src/kernel/host.js";
+import { createNodeHost, parseAddress } from "../src/kernel/hostNode.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
+
+/** A request that has reached a backend server. */
+export interface Arrival {
+    readonly socket: net.Socket;
+    /** Number of the request among all that have arrived, from 1. */
+    readonly number: number;
+    readonly id: string;
+    /** Number of the server's connection, from 1. */
+    readonly connection: number;
+}
+
+/** What a caller saw on its socket until its connection ended. */
+export interface CallerView {
+    readonly text: string;
+    /** True if the connection ended with a reset. */
+    readonly isReset: boolean;
+}
+
+export interface RealDelivery {
+    readonly arrivals: readonly Arrival[];
+    readonly results: readonly DeliveryResult[];
+    /** Errors that `deliver` has thrown. */
+    readonly thrown: readonly unknown[];
+    readonly reportedLoads: readonly ServerLoad[];
+    readonly reportedLimits: readonly NamedLimit[];
+    call(id: string): Promise<CallerView>;
+    close(): Promise<void>;
+}
+
+const timeoutMs = 5_000;
+
+/** Starts an entry's delivery and backend servers that answer each request with `respond`. */
+export async function startRealDelivery(
+    options: { repeat: "idempotent" | "nonIdempotent" | "stream" | "resumableStream"; servers: number; },
+    respond: (arrival: Arrival) => void,
+): Promise<RealDelivery> {
+    const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
+    const arrivals: Arrival[] = [];
+    const results: DeliveryResult[] = [];
+    const thrown: unknown[] = [];
+    const reportedLoads: ServerLoad[] = [];
+    const reportedLimits: NamedLimit[] = [];
+    const servers = await Promise.all(Array.from({ length: options.servers }, (_, index) => startServer(`w${index + 1}`)));
+    const connections = host.network.createBackendConnections({ connectTimeoutMs: 500, maxConnections: 4 });
+    const tracker = createLoadTracker();
+    const limits = createServerLimits(() => 0.5);
+    const retryWindow = createRetryWindow({ windowMs: 10_000, ratio: 1, slack: 10 });
+    const listener = await host.network.serve({
+        address: "127.0.0.1:0",
+        maxBodyBytes: 1_000,
+        async handler(request, response) {
+            try {
+                const result = await deliver(host, createCall(request), response, {
+                    protocol: platformProtocol,
+                    connections,
+                    servers: { listPool: () => servers.map(server => server.record), hasSynced: () => true, start: () => undefined },
+                    loads: {
+                        ...tracker,
+                        recordLoad(backendServer, load, nowMs) {
+                            reportedLoads.push(load);
+                            tracker.recordLoad(backendServer, load, nowMs);
+                        },
+                    },
+                    serverLimits: {
+                        ...limits,
+                        recordAnswer(backendServer, limit, sentAtMs, nowMs) {
+                            reportedLimits.push(limit);
+                            return limits.recordAnswer(backendServer, limit, sentAtMs, nowMs);
+                        },
+                    },
+                    loadExchange: { recordDispatch: () => undefined, recordLimitChange: () => undefined },
+                    retryWindow,
+                    crashGuard: {
+                        getHeldBackMs: () => undefined,
+                        watch: () => ({ recordBreak: () => undefined, end: () => undefined }),
+                        start: () => undefined,
+                    },
+                    log: createSilentLogger(),
+                    getAnswerHeaders: () => ({}),
+                });
+                results.push(result);
+                if (result.verdict === undefined || response.hasStarted) return;
+                response.start(messages[result.verdict.code].status, { "content-length": "0" });
+                response.end();
+            }
+            catch (error) {
+                thrown.push(error);
+                throw error;
+            }
+        },
+    });
+    return {
+        arrivals,
+        results,
+        thrown,
+        reportedLoads,
+        reportedLimits,
+        call: id => sendCall(listener.address, id),
+        async close() {
+            connections.close();
+            for (const server of servers) server.close();
+            await listener.close();
+        },
+    };
+
+    async function startServer(backendServer: string) {
+        const sockets = new Set<net.Socket>();
+        const server = net.createServer(socket => {
+            sockets.add(socket);
+            const connection = sockets.size;
+            socket.on("error", () => undefined);
+            socket.on("data", data => {
+                const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1];
+                if (id === undefined) return;
+                const arrival = { socket, number: arrivals.length + 1, id, connection };
+                arrivals.push(arrival);
+                respond(arrival);
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+        return {
+            record: { backendServer, pool: "p", address, failureDomain: "a" } as BackendServerRecord,
+            close() {
+                for (const socket of sockets) socket.destroy();
+                server.close();
+            },
+        };
+    }
+
+    function createCall(request: HttpRequest): DirectCall {
+        const nowMs = host.clock.nowMs();
+        return {
+            head: platformProtocol.parseRequest(request),
+            request,
+            route: { name: "r", repeat: options.repeat, maxAttempts: 2 },
+            pool: "p",
+            fingerprint: "f",
+            priority: 0,
+            arrivedAtMs: nowMs,
+            deadlineMs: nowMs + timeoutMs,
+        } as unknown as DirectCall;
+    }
+}
+
+/** Status line and headers of an answer, with a seal and the request's id. */
+export function createSealedHead(id: string, ...lines: readonly string[]): string {
+    return ["HTTP/1.1 200 OK", `X-Attempt-Id: ${id}`, "X-Worker-Seal: seal", ...lines, "", ""].join("\r\n");
+}
+
+function sendCall(address: string, id: string): Promise<CallerView> {
+    const { host, port } = parseAddress(address);
+    return new Promise(resolve => {
+        const parts: Buffer[] = [];
+        let isReset = false;
+        const socket = net.connect(port, host);
+        socket.on("data", part => parts.push(part));
+        socket.once("error", () => {
+            isReset = true;
+        });
+        socket.once("close", () => resolve({ text: Buffer.concat(parts).toString(), isReset }));
+        socket.write(`POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody`);
+    });
+}
--- a/test/unaskedAnswers.test.ts
+++ b/test/unaskedAnswers.test.ts
@@ -3,6 +3,7 @@
 import { test } from "tap";
 import { createNodeBackendConnections } from "../src/kernel/backendConnections.js";
 import { readAll } from "../src/kernel/tasks.js";
+import { createSealedHead, startRealDelivery } from "./realDelivery.js";
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
 const ownAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
@@ -88,3 +89,28 @@
     t.match(server.state, { requests: 2, connections: 2 });
     server.close();
 });
+
+/** Makes a request, and another one on the same connection that gets a copy of an earlier answer. Tells whether that connection is closed. */
+async function answerWithCopy(copy: string, servers = 1) {
+    let isClosed = false;
+    const delivery = await startRealDelivery({ repeat: "nonIdempotent", servers }, ({ socket, id }) => {
+        if (id === "a") return void socket.write(`${createSealedHead(id, "Content-Length: 5")}whole`);
+        socket.once("close", () => {
+            isClosed = true;
+        });
+        socket.write(copy);
+    });
+    const firstCaller = await delivery.call("a");
+    const caller = await delivery.call("b");
+    await wait(50);
+    await delivery.close();
+    return { firstCaller, caller, delivery, isClosed };
+}
+
+test("a whole answer of an earlier request closes the connection on which the next one runs", async t => {
+    const { firstCaller, caller, delivery, isClosed } = await answerWithCopy(`${createSealedHead("a", "Content-Length: 5")}whole`);
+    t.match(firstCaller.text, /^HTTP\/1.1 200 .*whole$/s);
+    t.match(caller.text, /^HTTP\/1.1 502 /);
+    t.same(delivery.arrivals.map(arrival => [arrival.id, arrival.connection]), [["a", 1], ["b", 1]]);
+    t.ok(isClosed, "the backend server sees that nobody waits");
+});
