Believe a refusal only if it is shown to answer this request

Callers could see: "not run" (503) for a request that a backend server was running, or the request ran at a second one (REFUSED, TWICE), after a faulty backend server had written a refusal without an id once more on a kept connection, with the answer to the next request. The copy's load, too, was believed.

Cause: an answer was taken for that of the request unless it named another one. A refusal that names none (X-Not-Executed, or status 421) counted as "not run". It is the assumption that what comes next on a connection answers what was sent last.

With one backend server only, callers got 503. A copy with the id of the earlier request was found out before this change too; a test keeps that.

Fix: an answer counts as this request's if it carries the request's id. Without an id it counts only as the first answer on its connection, where there was no earlier one to repeat; then nothing else is sent on that connection, since a copy of it could not be told from an answer. Otherwise the request may have run, load and limit are ignored, and the connection is closed.

The fake host says of each answer that it is the first on its connection, as its requests share none.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -111,14 +111,16 @@
 
     async function processReply(reply: IncomingResponse): Promise<AttemptOutcome> {
         const head = protocol.parseReply(reply.status, reply.headers);
-        if (head.requestId !== undefined && head.requestId !== call.head.requestId) {
+        const doubt = findDoubt(head, reply);
+        if (doubt !== undefined) {
             abortController.abort();
-            return createFailure("mayHaveRun", "outcomeUnknown", "unknown", "The answer belongs to another request.");
+            return createFailure("mayHaveRun", "outcomeUnknown", "unknown", doubt);
         }
         if (head.load !== undefined) options.onLoad(head.load);
         if (!head.isMisdirected && head.requestId !== undefined) options.onLimit(head.limit);
         if (head.isMisdirected || head.isNotRun) {
-            await discardRefusal(reply);
+            if (head.requestId === undefined) abortController.abort();
+            else await discardRefusal(reply);
             const code = head.isMisdirected ? "staleIncarnation" : "backendServerRefused";
             return createFailure("notRun", code, head.isMisdirected ? "unreachable" : "refused", `status ${head.status}`);
         }
@@ -131,6 +133,16 @@
         return head.status < 300 && isStream(call.route) ? relayStream(head, reply) : readAnswer(head, reply);
     }
 
+    /**
+     * Returns why the answer is not shown to be that of this request. A faulty backend server may write an earlier answer once more,
+     * so an answer without an id is believed only where there was no earlier one. Nothing may follow it on its connection.
+     */
+    function findDoubt(head: ReplyHead, reply: IncomingResponse): string | undefined {
+        if (head.requestId === call.head.requestId) return undefined;
+        if (head.requestId !== undefined) return "The answer belongs to another request.";
+        return reply.isFirstOnConnection === true ? undefined : "The answer names no request, and is not the first on its connection.";
+    }
+
     async function discardRefusal(reply: IncomingResponse): Promise<void> {
         const cancelDiscard = host.timers.after(refusalBodyTimeoutMs, () => abortController.abort());
         try {
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -14,6 +14,8 @@
     socket: Socket | undefined;
     /** Error of the current socket, if any. */
     socketError: Error | undefined;
+    /** Number of responses that have begun on the current socket. */
+    responses: number;
     isBusy: boolean;
 }
 
@@ -78,6 +80,7 @@
             isBusy: false,
             socket: undefined,
             socketError: undefined,
+            responses: 0,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 keepAliveTimeout: idleTimeoutMs,
@@ -87,6 +90,7 @@
                     connect(target, (error, socket) => {
                         if (error !== null || socket === null) return callback(error ?? new Error("no socket"), null);
                         connection.socketError = undefined;
+                        connection.responses = 0;
                         connection.socket = socket as Socket;
                         // undici also destroys sockets with its own errors, which say nothing about the server.
                         (socket as Socket).once("error", socketError => {
@@ -169,9 +173,16 @@
             if (informationalCount > maxInformationalResponses) connection.socket?.destroy(new Error("too many informational responses"));
         },
     });
+    connection.responses++;
     const headers = flattenHeaders(response.headers);
-    const isCloseDelimited = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-    return { status: response.statusCode, headers, body: response.body, isCloseDelimited: isCloseDelimited && request.method !== "HEAD" };
+    const hasLength = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    return {
+        status: response.statusCode,
+        headers,
+        body: response.body,
+        isCloseDelimited: !hasLength && request.method !== "HEAD",
+        isFirstOnConnection: connection.responses === 1,
+    };
 }
 
 /** Joins the values of repeated headers with commas. */
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -112,6 +112,8 @@
     readonly body: AsyncIterable<Uint8Array>;
     /** True if the end of the body is marked only by the end of the connection. */
     readonly isCloseDelimited?: boolean;
+    /** True if no request was sent on the connection before this one, so that the response cannot be a copy of an earlier one. */
+    readonly isFirstOnConnection?: boolean;
 }
 
 /** Thrown if no connection could be obtained, so that no part of the request was sent. */
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -344,7 +344,7 @@
             },
             start(status, headers) {
                 hasStarted = true;
-                deliver(() => resolve({ status, headers, body: pipe.read() }));
+                deliver(() => resolve({ status, headers, body: pipe.read(), isFirstOnConnection: true }));
             },
             async write(chunk) {
                 deliver(() => pipe.push(chunk));
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -38,14 +38,16 @@
     readonly reportedLoads: readonly ServerLoad[];
     readonly reportedLimits: readonly NamedLimit[];
     call(id: string): Promise<CallerView>;
+    /** Sends requests to this number of backend servers from now on. */
+    useServers(count: number): void;
     close(): Promise<void>;
 }
 
 const timeoutMs = 5_000;
 
-/** Starts an entry's delivery and backend servers that answer each request with `respond`. */
+/** Starts an entry's delivery and backend servers that answer each request with `respond`. One of the servers is in use at first. */
 export async function startRealDelivery(
-    options: { repeat: "idempotent" | "nonIdempotent" | "stream" | "resumableStream"; servers: number; },
+    repeat: "idempotent" | "nonIdempotent" | "stream" | "resumableStream",
     respond: (arrival: Arrival) => void,
 ): Promise<RealDelivery> {
     const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
@@ -54,7 +56,8 @@
     const thrown: unknown[] = [];
     const reportedLoads: ServerLoad[] = [];
     const reportedLimits: NamedLimit[] = [];
-    const servers = await Promise.all(Array.from({ length: options.servers }, (_, index) => startServer(`w${index + 1}`)));
+    const servers = await Promise.all([startServer("w1"), startServer("w2")]);
+    let usedServers = 1;
     const connections = host.network.createBackendConnections({ connectTimeoutMs: 500, maxConnections: 4 });
     const tracker = createLoadTracker();
     const limits = createServerLimits(() => 0.5);
@@ -67,7 +70,11 @@
                 const result = await deliver(host, createCall(request), response, {
                     protocol: platformProtocol,
                     connections,
-                    servers: { listPool: () => servers.map(server => server.record), hasSynced: () => true, start: () => undefined },
+                    servers: {
+                        listPool: () => servers.slice(0, usedServers).map(server => server.record),
+                        hasSynced: () => true,
+                        start: () => undefined,
+                    },
                     loads: {
                         ...tracker,
                         recordLoad(backendServer, load, nowMs) {
@@ -110,6 +117,9 @@
         reportedLoads,
         reportedLimits,
         call: id => sendCall(listener.address, id),
+        useServers(count) {
+            usedServers = count;
+        },
         async close() {
             connections.close();
             for (const server of servers) server.close();
@@ -147,7 +157,7 @@
         return {
             head: platformProtocol.parseRequest(request),
             request,
-            route: { name: "r", repeat: options.repeat, maxAttempts: 2 },
+            route: { name: "r", repeat, maxAttempts: 2 },
             pool: "p",
             fingerprint: "f",
             priority: 0,
--- a/test/unaskedAnswers.test.ts
+++ b/test/unaskedAnswers.test.ts
@@ -91,13 +91,14 @@
 });
 
 /** Makes a request, and another one on the same connection that gets a copy of an earlier answer. Tells whether that connection is closed. */
-async function answerWithCopy(copy: string, servers = 1) {
+async function answerWithCopy(copy: string) {
     let isClosed = false;
-    const delivery = await startRealDelivery({ repeat: "nonIdempotent", servers }, ({ socket, id }) => {
-        if (id === "a") return void socket.write(`${createSealedHead(id, "Content-Length: 5")}whole`);
+    const delivery = await startRealDelivery("nonIdempotent", ({ socket, id, number }) => {
+        if (number !== 2) return void socket.write(`${createSealedHead(id, "Content-Length: 5")}whole`);
         socket.once("close", () => {
             isClosed = true;
         });
+        delivery.useServers(2);
         socket.write(copy);
     });
     const firstCaller = await delivery.call("a");
@@ -114,3 +115,41 @@
     t.same(delivery.arrivals.map(arrival => [arrival.id, arrival.connection]), [["a", 1], ["b", 1]]);
     t.ok(isClosed, "the backend server sees that nobody waits");
 });
+
+test("a refusal without an id that comes with the next request does not make it count as not run", async t => {
+    for (const status of ["503 Service Unavailable\r\nX-Not-Executed: 1", "421 Misdirected Request"]) {
+        const copy = `HTTP/1.1 ${status}\r\nX-Worker-Load: 8,9,8\r\nServer-Limit: 1\r\nContent-Length: 4\r\n\r\nfull`;
+        const { firstCaller, caller, delivery, isClosed } = await answerWithCopy(copy);
+        t.match(firstCaller.text, /^HTTP\/1.1 200 .*whole$/s);
+        t.match(caller.text, /^HTTP\/1.1 502 /, status);
+        t.equal(delivery.arrivals.filter(arrival => arrival.id === "b").length, 1, "no second server gets the request");
+        t.match(delivery.results[1], { mayHaveRun: true, attempts: 1 });
+        t.same(delivery.reportedLoads, []);
+        t.same(delivery.reportedLimits, [{ kind: "none" }], "of the first answer");
+        t.ok(isClosed);
+    }
+});
+
+test("a refusal of an earlier request that comes with the next request does not make it count as not run", async t => {
+    const copy = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+    const { caller, delivery, isClosed } = await answerWithCopy(copy);
+    t.match(caller.text, /^HTTP\/1.1 502 /);
+    t.equal(delivery.arrivals.filter(arrival => arrival.id === "b").length, 1);
+    t.ok(isClosed);
+});
+
+test("a refusal without an id on a new connection is believed, and no other request is sent on that connection", async t => {
+    const delivery = await startRealDelivery("nonIdempotent", ({ socket }) => void socket.write(refusal));
+    for (const id of ["a", "b", "c"]) t.match((await delivery.call(id)).text, /^HTTP\/1.1 503 /);
+    t.same(delivery.arrivals.map(arrival => [arrival.id, arrival.connection]), [["a", 1], ["b", 2], ["c", 3]]);
+    await delivery.close();
+});
+
+test("a refusal that names its request is believed on a kept connection, which is used again", async t => {
+    const delivery = await startRealDelivery("nonIdempotent", ({ socket, id }) => {
+        socket.write(refusal.replace("\r\n", `\r\nX-Attempt-Id: ${id}\r\n`));
+    });
+    for (const id of ["a", "b"]) t.match((await delivery.call(id)).text, /^HTTP\/1.1 503 /);
+    t.same(delivery.arrivals.map(arrival => arrival.connection), [1, 1]);
+    await delivery.close();
+});
