--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -10,7 +10,8 @@
 import { messages } from "../src/kernel/diagnostics.js";
 import type { BackendServerRecord } from "../src/kernel/directory.js";
 import type { HttpRequest } from "../src/kernel/host.js";
-import { createNodeHost, parseAddress } from "../src/kernel/hostNode.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
+import { parseAddress } from "../src/kernel/httpServer.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 /** A request that has reached a backend server. */
