Bound the time for which a new connection waits in the listen queue of a busy process

Cause: Node.js 20 accepts one connection in each turn of the event loop. Change: kernel/acceptor.ts listens in place of the HTTP server and hands it the accepted sockets, also for TLS. It counts the turns that each accept a connection. If the queue has not been empty for maxAcceptWaitMs, it closes the listening socket and listens again on the same port: the kernel resets what waited, unread. Accepted connections stay. If listening fails, it is tried again every 50 ms. A log line and lovage_entry_queue_resets tell of it. The client listeners of both kinds of entry have 500 ms. Limits: the time is an upper bound, since the queue is only known to be empty after a turn without an accept. A single turn that takes longer than the bound is not seen.

--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -77,6 +77,11 @@
     readonly maxBodyBytes: number;
     /** Certificate and key files. Plain HTTP is used without them. */
     readonly tls?: TlsFiles;
+    /**
+     * Time for which new connections may wait in the listen queue while it is never empty. The connections in it are then reset. Without it,
+     * they wait until the client gives up.
+     */
+    readonly maxAcceptWaitMs?: number;
 }
 
 /** Certificate and key files of a TLS server. */
@@ -93,6 +98,8 @@
     reloadTls(): Promise<void>;
     /** Closes keep-alive connections without a request in progress. The server keeps listening. */
     closeIdleConnections(): void;
+    /** Number of times that the connections in the listen queue were reset. */
+    getQueueResets(): number;
     close(): Promise<void>;
 }
 
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -38,13 +38,13 @@
             nextFloat: () => randomInt(randomRange) / randomRange,
             nextId: () => randomBytes(12).toString("base64url"),
         },
-        network: createNodeNetwork(options.fleetSecret),
+        network: createNodeNetwork(options.fleetSecret, options.createLogger("httpServer")),
         disk: createNodeDisk(),
         createLogger: options.createLogger,
     };
 }
 
-function createNodeNetwork(fleetSecret: string): Network {
+function createNodeNetwork(fleetSecret: string, serverLog: Logger): Network {
     const pool = new Agent({
         connect: { timeout: connectTimeoutMs },
         keepAliveTimeout: keepAliveTimeoutMs,
@@ -53,7 +53,7 @@
         bodyTimeout: 0,
     });
     return {
-        serve: options => serve(options, fleetSecret, nodeClock),
+        serve: options => serve(options, fleetSecret, nodeClock, serverLog),
         async request(address, request): Promise<IncomingResponse> {
             try {
                 const response = await undiciRequest(`http://${address}${request.path}`, {
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -3,12 +3,14 @@
 import { promises as fs } from "node:fs";
 import * as http from "node:http";
 import * as https from "node:https";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import { isIP } from "node:net";
 import VError from "verror";
+import { createAcceptor } from "./acceptor.js";
+import type { Acceptor } from "./acceptor.js";
 import { flattenHeaders } from "./backendConnections.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
-import type { Clock, HttpRequest, HttpResponse, Listener, ServerOptions } from "./host.js";
+import type { Clock, HttpRequest, HttpResponse, Listener, Logger, ServerOptions } from "./host.js";
 import type { Address } from "./types.js";
 
 const keepAliveTimeoutMs = 60_000;
@@ -17,7 +19,7 @@
 const maxHeaderSizeBytes = 16_384;
 
 /** Starts a server. */
-export async function serve(options: ServerOptions, fleetSecret: string, clock: Clock): Promise<Listener> {
+export async function serve(options: ServerOptions, fleetSecret: string, clock: Clock, log: Logger): Promise<Listener> {
     const { host, port } = parseAddress(options.address);
     const rpc = options.router === undefined ? undefined : createHTTPHandler({
         router: options.router,
@@ -41,28 +43,42 @@
     };
     const server = await createServer(options, listener);
     server.on("connection", (socket: Socket) => connectedAtMs.set(socket, clock.nowMs()));
-    await listen(server, host, port);
-    const boundAddress = server.address() as AddressInfo;
+    // The server does not listen itself. The event makes it check the timeouts of its connections.
+    server.emit("listening");
+    const acceptor = createAcceptor(
+        {
+            host,
+            port,
+            allowHalfOpen: options.tls === undefined,
+            maxAcceptWaitMs: options.maxAcceptWaitMs,
+            onConnection: socket => server.emit("connection", socket),
+        },
+        clock,
+        log,
+    );
+    await acceptor.listen();
     return {
-        address: `${host}:${boundAddress.port}`,
+        address: `${host}:${acceptor.getPort()}`,
+        getQueueResets: acceptor.getQueueResets,
         async reloadTls() {
             if (options.tls !== undefined && server instanceof https.Server) server.setSecureContext(await readTls(options));
         },
         closeIdleConnections: () => server.closeIdleConnections(),
         close() {
-            return closeServer(server);
+            return closeServer(server, acceptor);
         },
     };
 }
 
 // By now the process has finished its work. Idle keep-alive connections are closed at once, long polls after a grace period.
-function closeServer(server: http.Server): Promise<void> {
+function closeServer(server: http.Server, acceptor: Acceptor): Promise<void> {
     return new Promise(resolve => {
         const forceCloseTimer = setTimeout(() => server.closeAllConnections(), closeGraceMs);
-        server.close(() => {
+        acceptor.close(() => {
             clearTimeout(forceCloseTimer);
             resolve();
         });
+        server.close();
         server.closeIdleConnections();
     });
 }
@@ -78,13 +94,6 @@
     return { cert: await fs.readFile(tls.certificateFile), key: await fs.readFile(tls.keyFile) };
 }
 
-function listen(server: http.Server, host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", error => reject(new VError(error, "cannot listen on %s:%d", host, port)));
-        server.listen(port, host, resolve);
-    });
-}
-
 /** Splits an address into host and port. Throws if it is not an IP address with a port. */
 export function parseAddress(address: Address): { readonly host: string; readonly port: number; } {
     const match = /^(.+):(\d{1,5})$/.exec(address);
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -245,6 +245,7 @@
                     address: options.address,
                     reloadTls: () => Promise.resolve(),
                     closeIdleConnections: () => undefined,
+                    getQueueResets: () => 0,
                     async close() {
                         servers.delete(options.address);
                     },
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -96,6 +96,8 @@
 
 const maxBodyBytes = 8 * 1024 * 1024;
 const maxFleetBodyBytes = 64 * 1024 * 1024;
+/** A caller gives up a new connection after about a second. Half of it leaves time to go elsewhere. */
+const maxAcceptWaitMs = 500;
 
 /** Initializes the data folder of a voter. Without initial voters, the voter is added to an existing group later. */
 export function initializeControl(
@@ -155,11 +157,14 @@
     const control = createControlClient(host, settings.controlAddresses);
     const { vm, failureDomain, fleetListen } = settings;
     const incarnation = host.random.nextId();
-    // The handler needs the entry, which is created after it.
-    const forwardReference: { entry?: Entry; } = {};
+    // The handler needs the entry and its listener, which are created after it.
+    const forwardReference: { entry?: Entry; clientListener?: Listener; } = {};
     const handler = createProcessHandler({
         isReady: () => forwardReference.entry?.isReady() ?? false,
-        readMetrics: () => forwardReference.entry === undefined ? [] : readEntryMetrics(forwardReference.entry),
+        readMetrics: () =>
+            forwardReference.entry === undefined
+                ? []
+                : [...readEntryMetrics(forwardReference.entry), ...readListenerMetrics(forwardReference.clientListener)],
         handler: (request, response) => forwardReference.entry!.handle(request, response),
     });
     const entry = createEntry(host, {
@@ -175,8 +180,9 @@
             router: entry.router,
             maxBodyBytes: maxFleetBodyBytes,
         }),
-        await host.network.serve({ address: settings.listen, handler, maxBodyBytes, tls: settings.tls }),
+        await host.network.serve({ address: settings.listen, handler, maxBodyBytes, maxAcceptWaitMs, tls: settings.tls }),
     ];
+    forwardReference.clientListener = listeners[1];
     entry.start();
     return createRunningProcess(entry, listeners, control);
 }
@@ -318,10 +324,10 @@
     });
     const endpoints = createProcessHandler({
         isReady: gateway.isReady,
-        readMetrics: () => readGatewayMetrics(gateway),
+        readMetrics: () => [...readGatewayMetrics(gateway), ...readListenerMetrics(clientListener)],
         handler: rejectUnauthorized,
     });
-    clientListener = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes });
+    clientListener = await host.network.serve({ address: settings.listen, handler: gateway.handle, maxBodyBytes, maxAcceptWaitMs });
     const listeners = [
         await host.network.serve({ address: settings.readyListen, handler: endpoints, maxBodyBytes }),
         await host.network.serve({ address: fleetListen, handler: endpoints, router: gateway.router, maxBodyBytes: maxFleetBodyBytes }),
@@ -466,6 +472,11 @@
     ];
 }
 
+function readListenerMetrics(listener: Listener | undefined): readonly MetricReading[] {
+    const value = listener?.getQueueResets() ?? 0;
+    return [{ name: "lovage_entry_queue_resets", help: "times that the connections in the listen queue were reset", value }];
+}
+
 function readCapacityMetrics(capacity: Capacity): readonly MetricReading[] {
     return [
         {
