Break off a stream that has begun when the next backend server answers with an error

Cause: `deliver` wrote an answer that is not retried (4xx) without asking whether a stream had begun. Node.js throws there, so that no byte of the error reached callers. But the response had just been told that the new answer has a length, so that the abort which followed the throw closed the connection instead of resetting it; and a request that ends with a throw is billed in full, because nobody knows what was delivered. No test could see it, as the fake host let a response start twice; it throws now, as Node.js does.

Evidence, with raw sockets on both sides and in a fleet on fake hosts, before:

not ok - a caller that knows no length sees a reset (400 and 404, stream without a length) not ok - thrown: wanted none, found ERR_HTTP_HEADERS_SENT (400 and 404, both framings) not ok - "outcome":"backendServerFailed".*"events":1,"billedTokens":12 in the log (no such line) not ok - no line "A request failed." (found)

500 and a refusal passed before, and are kept as tests.

Fix: once a stream has begun an answer is a failed attempt, whatever its status: the stream is broken off, and the request is billed by the events that were delivered. 4xx are still not retried.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -64,7 +64,7 @@
     hasReachedServer: boolean;
     deliveredEvents: number;
     lastEventId: string | undefined;
-    /** Last complete error answer, which is returned when no later attempt succeeds. */
+    /** Last complete error answer, which is returned when no later attempt succeeds and no stream has begun. */
     failedAnswer: BufferedAnswer | undefined;
     verdict: Verdict;
 }
@@ -117,10 +117,12 @@
             response.end();
             return createResult(undefined);
         }
-        if (outcome.kind === "answer" && (outcome.answer.status < 500 || !isRepeatable(call.route))) return writeAnswer(outcome.answer);
         if (outcome.kind === "answer") {
+            const isFinal = outcome.answer.status < 500 || !isRepeatable(call.route);
+            if (isFinal && !response.hasStarted) return writeAnswer(outcome.answer);
             progress.failedAnswer = outcome.answer;
             progress.verdict = createVerdict("ran", "backendServerFailed");
+            if (isFinal) break;
         }
         else progress.verdict = outcome.verdict;
         if (!mayRetry()) break;
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -344,6 +344,7 @@
                 return hasStarted;
             },
             start(status, headers) {
+                if (hasStarted) throw new Error("the response has started already");
                 hasStarted = true;
                 deliver(() => resolve({ status, headers, body: pipe.read(), isFirstOnConnection: true }));
             },
