Calls between processes on kept WebSocket connections

Cause: tRPC's HTTP handler makes a fetch Request, a Response, streams and abort signals for each call and throws them away.

Change: direct calls use one kept connection for each pair of processes and direction, served by @trpc/server's WebSocket adapter on the address and port of /rpc/ (kernel/rpcUpgrade.ts). HTTP stays for relayed calls and for processes of an earlier version. The client (kernel/rpcSockets.ts) fails the calls of a refused, broken or silent connection and leaves what follows to the callers. Commands carry operation ids and loads carry sequences, so callers may send again; the link itself sends each call once.

Ruled out: createWSClient of @trpc/client. While it cannot connect, it keeps calls, waits up to 30 s between attempts and sends abandoned calls later; a silent connection is closed by a handshake that the peer has to answer.

--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -1,4 +1,4 @@
-/** The production host: clock, timers and files of Node.js, its HTTP server, and the undici client. */
+/** The production host: clock, timers and files of Node.js, its HTTP server, the undici client, and WebSocket connections for calls. */
 import { randomBytes, randomInt } from "node:crypto";
 import { promises as fs } from "node:fs";
 import { dirname } from "node:path";
@@ -8,6 +8,7 @@
 import type { Clock, Disk, Host, IncomingResponse, Logger, Network } from "./host.js";
 import { serve } from "./httpServer.js";
 import { createHttpLink } from "./rpcLinks.js";
+import { createRpcSockets } from "./rpcSockets.js";
 
 /** Options of the production host. */
 export interface NodeHostOptions {
@@ -38,13 +39,13 @@
             nextFloat: () => randomInt(randomRange) / randomRange,
             nextId: () => randomBytes(12).toString("base64url"),
         },
-        network: createNodeNetwork(options.fleetSecret, options.createLogger("httpServer")),
+        network: createNodeNetwork(options.fleetSecret, options.createLogger),
         disk: createNodeDisk(),
         createLogger: options.createLogger,
     };
 }
 
-function createNodeNetwork(fleetSecret: string, serverLog: Logger): Network {
+function createNodeNetwork(fleetSecret: string, createLogger: (prefix: string) => Logger): Network {
     const pool = new Agent({
         connect: { timeout: connectTimeoutMs },
         keepAliveTimeout: keepAliveTimeoutMs,
@@ -52,6 +53,8 @@
         headersTimeout: 0,
         bodyTimeout: 0,
     });
+    const sockets = createRpcSockets({ fleetSecret, clock: nodeClock, log: createLogger("network"), connectTimeoutMs });
+    const serverLog = createLogger("httpServer");
     return {
         serve: options => serve(options, fleetSecret, nodeClock, serverLog),
         async request(address, request): Promise<IncomingResponse> {
@@ -69,7 +72,10 @@
                 throw toNetworkError(error, address);
             }
         },
-        linkTo: (address, relay) => createHttpLink(address, pool, fleetSecret, relay),
+        linkTo(address, relay) {
+            const httpLink = createHttpLink(address, pool, fleetSecret, relay);
+            return relay === undefined ? sockets.linkTo(address, httpLink) : httpLink;
+        },
         createBackendConnections: createNodeBackendConnections,
     };
 }
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -11,6 +11,8 @@
 import { flattenHeaders } from "./backendConnections.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
 import type { Clock, HttpRequest, HttpResponse, Listener, Logger, ServerOptions } from "./host.js";
+import { acceptRpcUpgrades } from "./rpcUpgrade.js";
+import type { RpcUpgrades } from "./rpcUpgrade.js";
 import type { Address } from "./types.js";
 
 const keepAliveTimeoutMs = 60_000;
@@ -42,6 +44,9 @@
         void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
     };
     const server = await createServer(options, listener);
+    const upgrades = options.router === undefined
+        ? undefined
+        : acceptRpcUpgrades(server, { router: options.router, fleetSecret, maxPayloadBytes: options.maxBodyBytes });
     server.on("connection", (socket: Socket) => connectedAtMs.set(socket, clock.nowMs()));
     // The server does not listen itself. The event makes it check the timeouts of its connections.
     server.emit("listening");
@@ -65,21 +70,26 @@
         },
         closeIdleConnections: () => server.closeIdleConnections(),
         close() {
-            return closeServer(server, acceptor);
+            return closeServer(server, acceptor, upgrades);
         },
     };
 }
 
-// By now the process has finished its work. Idle keep-alive connections are closed at once, long polls after a grace period.
-function closeServer(server: http.Server, acceptor: Acceptor): Promise<void> {
+// By now the process has finished its work. Idle connections are closed at once, long polls after a grace period.
+function closeServer(server: http.Server, acceptor: Acceptor, upgrades?: RpcUpgrades): Promise<void> {
     return new Promise(resolve => {
-        const forceCloseTimer = setTimeout(() => server.closeAllConnections(), closeGraceMs);
+        const forceClose = () => {
+            server.closeAllConnections();
+            upgrades?.terminate();
+        };
+        const forceCloseTimer = setTimeout(forceClose, closeGraceMs);
         acceptor.close(() => {
             clearTimeout(forceCloseTimer);
             resolve();
         });
         server.close();
         server.closeIdleConnections();
+        upgrades?.drain();
     });
 }
 
