Say that a saturated entry is not ready

Cause: isReady knew only whether the configuration had come (and the directory, or the announcement). Change: both kinds of entry are not ready while they are saturated; they still serve what arrives. Saturation now takes three full windows (750 ms) instead of two: listenQueue.test.ts asks that half a second without time to spare does not take an entry out, which two windows broke ("not ok 2 - ready after 500 ms"), and that two seconds do. The platform asks once a second and acts on two misses. Not known: an entry that is saturated for long is not ready for long. Evidence: test/listenQueue.test.ts, readiness: before "not ok 3 - not ready after 2000 ms", after ok. test/readiness.test.ts (fake hosts, both kinds of entry): without the change both fail at "while its event loop has no pause".

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -140,7 +140,8 @@
     return {
         handle,
         router: createGatewayRouter({ shareLoad: loadExchange.receive }),
-        isReady: () => isSynced() && !isStopping,
+        // A saturated gateway goes on to serve what arrives, but new connections should go to others.
+        isReady: () => isSynced() && !isStopping && !capacity.isSaturated(),
         statistics,
         getVersion: () => configuration.version,
         getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,4 +1,6 @@
 /** The entry: accepts HTTP requests of callers and runs them through the stages of the pipeline. */
+import { createCapacity } from "../kernel/capacity.js";
+import type { Capacity } from "../kernel/capacity.js";
 import { createEntryRouter } from "../kernel/contracts.js";
 import type { AgentRouter, EntryApi } from "../kernel/contracts.js";
 import type { ControlClient } from "../kernel/controlClient.js";
@@ -45,6 +47,7 @@
     readonly requestRouter: Router;
     readonly statistics: EntryStatistics;
     readonly leases: LeaseManager;
+    readonly capacity: Capacity;
     handle(request: HttpRequest, response: HttpResponse): Promise<void>;
     start(): void;
     isReady(): boolean;
@@ -78,6 +81,7 @@
     const log = host.createLogger("entry");
     const stopController = createStopController();
     const statistics = createEntryStatistics();
+    const capacity = createCapacity(host, host.createLogger("process"));
     const requestRouter = createRouter(host, { policy: options.routingPolicy, chooseOverride: options.chooseOverride });
     const leases = options.createLeases?.(host) ?? createLeaseManager(host, {
         vm: identity.vm,
@@ -130,13 +134,16 @@
         requestRouter,
         statistics,
         leases,
+        capacity,
         handle,
         start() {
             void announceAndPollFleet();
             configuration.start(stopController.signal);
             leases.start(stopController.signal);
+            capacity.start(stopController.signal);
         },
-        isReady: () => isAnnounced && configuration.isReady() && !isStopping,
+        // A saturated entry goes on to serve what arrives, but new connections should go to others.
+        isReady: () => isAnnounced && configuration.isReady() && !isStopping && !capacity.isSaturated(),
         getVersion: () => configuration.version,
         getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
         getPendingTaskCount: background.getCount,
--- a/src/kernel/capacity.ts
+++ b/src/kernel/capacity.ts
@@ -36,7 +36,8 @@
 const warningThresholdMs = 250;
 const saturatedAbove = 0.9;
 const relievedBelow = 0.7;
-const windowsToSaturate = 2;
+/** A burst of half a second, such as the first requests after a pause, is not saturation. */
+const windowsToSaturate = 3;
 /** Time for which a state lasts at least. The platform asks once a second whether a process is ready. */
 const minStateMs = 1_000;
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -434,6 +434,7 @@
 function readEntryMetrics(entry: Entry): readonly MetricReading[] {
     return [
         ...readRequestMetrics(entry),
+        ...readCapacityMetrics(entry.capacity),
         { name: "lovage_entry_owed", help: "settlements and claims that are not confirmed yet", value: entry.getPendingTaskCount() },
     ];
 }
