Go on with a stream only from an answer of the same kind

It took a stream that broke off, and a 200 that is no stream, with the request's id and a seal, from the next backend server.

Cause: on a route of streams every 200 was relayed as events, also into a stream that had begun as something else. Blank lines in a body look like the ends of events.

Evidence, with raw sockets on both sides, before, for application/json and for no stated kind, in both framings:

not ok 2 - should be equal (the body that the caller got holds "the error of another backend server") not ok 3 - a caller that knows no length sees a reset not ok 6 - deliveredEvents, verdict (verdict: undefined, the request counted as answered)

Fix: a stream that has begun goes on only with text/event-stream, or with the content type with which it began; anything else is a failed attempt, and the stream is broken off. A test keeps that parameters and letter case of the content type do not matter.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -41,6 +41,8 @@
 /** Receives the events of a stream. */
 export interface StreamSink {
     readonly hasStarted: boolean;
+    /** Content type with which the stream has started. */
+    readonly contentType: string | undefined;
     readonly lastEventId: string | undefined;
     start(status: number, headers: Headers, isCloseDelimited: boolean): void;
     write(data: Uint8Array, eventCount: number, lastEventId: string | undefined): Promise<void>;
@@ -61,6 +63,7 @@
     readonly onStarted: () => void;
 }
 
+const eventStreamType = "text/event-stream";
 const maxAnswerBytes = 8 * 1024 * 1024;
 /** Limits of the body of a refusal. Beyond them its connection is closed. */
 const maxRefusalBytes = 64 * 1024;
@@ -165,7 +168,13 @@
         if (head.isEncoded) return "The body is encoded.";
         if (head.requestId === undefined) return "The answer names no request.";
         if (head.status < 200 || head.status >= 300 && head.status < 400) return `Status ${head.status} is not expected.`;
-        return head.isSealed || head.status >= 400 ? undefined : "The answer is not sealed.";
+        if (!head.isSealed && head.status < 400) return "The answer is not sealed.";
+        return head.status < 300 && sink.hasStarted && !continuesStream(head) ? "The answer does not go on with the stream." : undefined;
+    }
+
+    function continuesStream(head: ReplyHead): boolean {
+        const mediaType = getMediaType(head.passthroughHeaders["content-type"]);
+        return mediaType === eventStreamType || mediaType === getMediaType(sink.contentType);
     }
 
     async function readAnswer(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
@@ -191,6 +200,10 @@
     }
 }
 
+function getMediaType(contentType: string | undefined): string | undefined {
+    return contentType?.split(";")[0]?.trim().toLowerCase();
+}
+
 /** Reads the body of a refusal, so that its connection can be used again. The outcome of the attempt is known without it. */
 async function discardBody(body: AsyncIterable<Uint8Array>): Promise<void> {
     let sizeBytes = 0;
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -64,6 +64,7 @@
     hasReachedServer: boolean;
     deliveredEvents: number;
     lastEventId: string | undefined;
+    streamContentType: string | undefined;
     /** Last complete error answer, which is returned when no later attempt succeeds and no stream has begun. */
     failedAnswer: BufferedAnswer | undefined;
     verdict: Verdict;
@@ -90,6 +91,7 @@
         hasReachedServer: false,
         deliveredEvents: 0,
         lastEventId: undefined,
+        streamContentType: undefined,
         failedAnswer: undefined,
         verdict: createVerdict("notRun", "noBackendServer", undefined, getRetryAfterMs()),
     };
@@ -265,11 +267,16 @@
             get hasStarted() {
                 return response.hasStarted;
             },
+            get contentType() {
+                return progress.streamContentType;
+            },
             get lastEventId() {
                 return progress.lastEventId;
             },
-            start: (status, headers, isCloseDelimited) =>
-                response.start(status, { ...headers, ...options.getAnswerHeaders() }, isCloseDelimited),
+            start(status, headers, isCloseDelimited) {
+                progress.streamContentType = headers["content-type"];
+                response.start(status, { ...headers, ...options.getAnswerHeaders() }, isCloseDelimited);
+            },
             async write(data, eventCount, lastEventId) {
                 progress.deliveredEvents += eventCount;
                 progress.lastEventId = lastEventId;
--- a/test/brokenStreams.test.ts
+++ b/test/brokenStreams.test.ts
@@ -20,6 +20,8 @@
     "a 400": id => createAnswer("400 Bad Request", id, "X-Worker-Seal: seal"),
     "a 404 without a seal": id => createAnswer("404 Not Found", id),
     "a 500": id => createAnswer("500 Internal Server Error", id, "X-Worker-Seal: seal"),
+    "a 200 that is no stream": id => createAnswer("200 OK", id, "X-Worker-Seal: seal", "Content-Type: application/json"),
+    "a 200 of an unstated kind": id => createAnswer("200 OK", id, "X-Worker-Seal: seal"),
     "a refusal": id => createAnswer("503 Service Unavailable", id, "X-Not-Executed: 1"),
 };
 
@@ -51,6 +53,21 @@
     }
 }
 
+test("a stream that had begun goes on at the next backend server, which names the same kind of content in another way", async t => {
+    const delivery = await startRealDelivery("resumableStream", arrival => {
+        if (arrival.number === 1) {
+            delivery.useServers(2);
+            return breakOff(arrival, "in chunks");
+        }
+        const event = "id: 2\ndata: piece 2\n\n";
+        const lines = ["Content-Type: Text/Event-Stream; charset=utf-8", `Content-Length: ${event.length}`];
+        arrival.socket.write(createSealedHead(arrival.id, ...lines) + event);
+    });
+    t.match((await delivery.call("a")).text, /piece 1\n.*piece 2\n\n\r\n0\r\n\r\n$/s);
+    t.match(delivery.results, [{ deliveredEvents: 2, verdict: undefined }]);
+    await delivery.close();
+});
+
 test("a stream that another backend server ends with an error is billed for the events that were delivered", async t => {
     const fleet = await createDirectFleet(61);
     let isFirst = true;
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -31,7 +31,7 @@
         protocol: platformProtocol,
         connections,
         server: { backendServer: "w", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` } as BackendServerRecord,
-        sink: { hasStarted: false, lastEventId: undefined, start: () => undefined, write: () => Promise.resolve() },
+        sink: { hasStarted: false, contentType: undefined, lastEventId: undefined, start: () => undefined, write: () => Promise.resolve() },
         log: createSilentLogger(),
         onLoad: () => undefined,
         onLimit: () => undefined,
