Do not take one long turn of the event loop for an old listen queue

Found by the review: after one accept and a turn of 600 ms (garbage collection, a replay, a pause of the VM), the queue counted as 500 ms old and was dropped at the end of that turn, with connections in it that were 20 ms old and would have been taken at once.

Change: a queue ages by the turns that each accept a connection, of each turn by a fifth of the bound at most.

--- a/src/kernel/acceptor.ts
+++ b/src/kernel/acceptor.ts
@@ -32,23 +32,26 @@
 
 /** What is known of a listen queue at the end of a turn of the event loop. */
 export interface QueueState {
-    /** Time of the first of the accepts since which the queue was never seen empty. */
-    readonly fullSinceMs: number | undefined;
-    /** Turns since then. */
+    /** Turns in a row that have accepted a connection. */
     readonly turns: number;
+    /** Time that these turns took, of each one at most a limit. */
+    readonly nonEmptyMs: number;
 }
 
 const listenRetryMs = 50;
+/** Turns that it takes at least until a queue counts as old. One long turn says nothing about the age of what has come in it. */
+const minTurnsToDrop = 5;
 
 /** State of a listen queue that is empty. */
-export const emptyQueue: QueueState = { fullSinceMs: undefined, turns: 0 };
+export const emptyQueue: QueueState = { turns: 0, nonEmptyMs: 0 };
 
 /**
- * Returns the state after a turn in which a connection was accepted at the given time, or none. In a whole turn without an accept the queue was
- * empty. While each turn has one, a connection may have waited since the first, but a turn longer at most.
+ * Returns the state after a turn of the event loop, with the duration of the turn, or undefined if it accepted no connection. In a whole turn
+ * without an accept the queue was empty. While each turn has one, a connection may have waited since the first.
  */
-export function updateQueue(state: QueueState, acceptedAtMs: number | undefined): QueueState {
-    return acceptedAtMs === undefined ? emptyQueue : { fullSinceMs: state.fullSinceMs ?? acceptedAtMs, turns: state.turns + 1 };
+export function updateQueue(state: QueueState, turnMs: number | undefined, maxTurnMs: number): QueueState {
+    if (turnMs === undefined) return emptyQueue;
+    return { turns: state.turns + 1, nonEmptyMs: state.nonEmptyMs + Math.min(turnMs, maxTurnMs) };
 }
 
 /** Creates an acceptor, which listens once it is told to. */
@@ -59,8 +62,10 @@
     let current: net.Server | undefined;
     let port = options.port;
     let queue = emptyQueue;
-    let acceptedAtMs: number | undefined;
+    let hasAccepted = false;
     let isWatching = false;
+    // Time of the end of the turn before or, of a first turn, of its accept.
+    let turnStartedAtMs = 0;
     let queueResets = 0;
     let retryTimer: NodeJS.Timeout | undefined;
     let onAllClosed: (() => void) | undefined;
@@ -104,9 +109,10 @@
 
     function accept(socket: net.Socket): void {
         if (maxAcceptWaitMs !== Infinity) {
-            acceptedAtMs ??= clock.nowMs();
+            hasAccepted = true;
             if (!isWatching) {
                 isWatching = true;
+                turnStartedAtMs = clock.nowMs();
                 setImmediate(endTurn);
             }
         }
@@ -115,18 +121,24 @@
 
     // Runs after the poll phase of each turn, in which connections are accepted, until a turn passes without an accept.
     function endTurn(): void {
-        queue = updateQueue(queue, acceptedAtMs);
-        acceptedAtMs = undefined;
-        const fullMs = queue.fullSinceMs === undefined ? 0 : clock.nowMs() - queue.fullSinceMs;
-        if (fullMs > maxAcceptWaitMs && current?.listening) dropQueue(fullMs);
-        isWatching = queue.fullSinceMs !== undefined;
+        const nowMs = clock.nowMs();
+        queue = updateQueue(queue, hasAccepted ? nowMs - turnStartedAtMs : undefined, maxAcceptWaitMs / minTurnsToDrop);
+        hasAccepted = false;
+        turnStartedAtMs = nowMs;
+        if (queue.nonEmptyMs >= maxAcceptWaitMs && current?.listening) dropQueue();
+        isWatching = queue.turns > 0;
         if (isWatching) setImmediate(endTurn);
     }
 
     // Closing the listening socket resets the connections that it has not accepted. The accepted ones are not affected.
-    function dropQueue(fullMs: number): void {
+    function dropQueue(): void {
         queueResets++;
-        log.warn("The listen queue was dropped.", { port, turns: queue.turns, fullMs: Math.round(fullMs), resets: queueResets });
+        log.warn("The listen queue was dropped.", {
+            port,
+            turns: queue.turns,
+            nonEmptyMs: Math.round(queue.nonEmptyMs),
+            resets: queueResets,
+        });
         queue = emptyQueue;
         current?.close();
         reopen();
