--- a/test/rpcSocket.test.ts
+++ b/test/rpcSocket.test.ts
@@ -1,10 +1,12 @@
 /** Calls on kept WebSocket connections of the production host, on real sockets, and how they fail. */
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { createServer as createHttpServer } from "node:http";
 import type { IncomingMessage } from "node:http";
 import { createConnection, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { Worker } from "node:worker_threads";
-import { test } from "tap";
+import tap, { test } from "tap";
 import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
 import type { Host, Listener } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
@@ -12,11 +14,16 @@
 import { sleep } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
+// The silence of real connections takes its time. This is the limit of `npm test`.
+tap.setTimeout(240_000);
+
 const secret = "test-secret";
 const maxBodyBytes = 100_000;
 /** Far more than an answer takes on loopback, and less than any timeout of the connections. */
 const atOnceMs = 900;
 /** More than a silent connection is kept. */
+const keptMs = 4_000;
+/** Time in which a silent connection must have been dropped, on a busy machine too. */
 const droppedMs = 6_000;
 
 const held = new Set<() => void>();
@@ -155,7 +162,7 @@
     const listener = await serveRouter(host);
     const proxy = await startProxy(listener);
     const longPoll = getClient(host, proxy.address).held.query(undefined, longPollOptions);
-    t.equal(await getOutcomeWithin(host, longPoll, droppedMs), "pending");
+    t.equal(await getOutcomeWithin(host, longPoll, keptMs), "pending");
     releaseHeld();
     t.equal(await longPoll, "released");
     t.equal(proxy.counts.connections, 1);
@@ -195,6 +202,82 @@
     await listener.close();
 });
 
+test("calls to a process that is killed fail at once, and the first call after its restart is answered", async t => {
+    const host = createHost();
+    const peer = await startPeer("127.0.0.1:0");
+    const client = getClient(host, peer.address);
+    t.equal(await client.quick.query(), "answered");
+    const pending = [client.held.query(), client.held.query(undefined, longPollOptions)].map(getOutcome);
+    t.equal(await getOutcomeWithin(host, client.quick.query(), atOnceMs), "answered answered");
+    await peer.kill();
+    const ended = await Promise.race([Promise.all(pending), sleep(host.timers, atOnceMs).then(() => ["pending"])]);
+    for (const outcome of ended) t.match(outcome, /^failed: /);
+    t.match(await getOutcomeWithin(host, client.quick.query(), atOnceMs), /^failed: .*ECONNREFUSED/);
+    const restarted = await startPeer(peer.address);
+    t.equal(await getOutcomeWithin(host, client.quick.query(), atOnceMs), "answered answered");
+    await restarted.kill();
+});
+
+test("calls to a process that is frozen for long fail, and the first call after its resumption is answered", async t => {
+    const host = createHost();
+    const peer = await startPeer("127.0.0.1:0");
+    const client = getClient(host, peer.address);
+    t.equal(await client.quick.query(), "answered");
+    peer.signal("SIGSTOP");
+    t.match(await getOutcomeWithin(host, client.held.query(), droppedMs), /^failed: .* was silent/);
+    peer.signal("SIGCONT");
+    t.equal(await getOutcomeWithin(host, client.quick.query(), atOnceMs), "answered answered");
+    await peer.kill();
+});
+
+test("a process that was itself late keeps its connection, because its peer is not to blame", async t => {
+    const host = createHost();
+    const peer = await startPeer("127.0.0.1:0");
+    const client = getClient(host, peer.address);
+    t.equal(await client.quick.query(), "answered");
+    const longPoll = client.held.query(undefined, longPollOptions);
+    await sleep(host.timers, 100);
+    blockEventLoop(3_200);
+    t.equal(await getOutcomeWithin(host, longPoll, 300), "pending");
+    t.equal(await getOutcomeWithin(host, client.quick.query(), atOnceMs), "answered answered");
+    await peer.kill();
+});
+
+function blockEventLoop(timeMs: number): void {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, timeMs);
+}
+
+/** Serves some procedures in a process of its own, which writes its address. */
+const peerCode = `
+const [hostNodeUrl, rpcUrl, fleetSecret, address] = process.argv.slice(1);
+const { createNodeHost } = await import(hostNodeUrl);
+const { rpc } = await import(rpcUrl);
+const ignore = () => undefined;
+const createLogger = () => ({ debug: ignore, info: ignore, warn: ignore, error: ignore });
+const router = rpc.router({ quick: rpc.procedure.query(() => "answered"), held: rpc.procedure.query(() => new Promise(ignore)) });
+const handler = (_request, response) => Promise.resolve(response.abort());
+const listener = await createNodeHost({ fleetSecret, createLogger }).network.serve({ address, handler, router, maxBodyBytes: 1e6 });
+process.stdout.write(listener.address);
+`;
+
+async function startPeer(address: string) {
+    const urls = ["../src/kernel/hostNode.js", "../src/kernel/rpc.js"].map(file => new URL(file, import.meta.url).href);
+    const peer = spawn(process.execPath, ["--input-type=module", "-e", peerCode, ...urls, secret, address], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    const exited = once(peer, "exit");
+    process.once("exit", () => peer.kill("SIGKILL"));
+    const [output] = await once(peer.stdout, "data") as [Buffer];
+    return {
+        address: output.toString("utf8"),
+        signal: (name: NodeJS.Signals) => peer.kill(name),
+        async kill() {
+            peer.kill("SIGKILL");
+            await exited;
+        },
+    };
+}
+
 test("a silent connection fails its calls and is replaced, although nothing resets it", async t => {
     const host = createHost();
     const listener = await serveRouter(host);
