Count the deadline of a request from its arrival, as far as that is known

Change: HttpRequest.waitedMs, beside connectionAgeMs, which stays as it was. A head that is read in the first turn that can read it was there when its connection was accepted, or came during that turn, so its time counts from the acceptance: at most one turn too long. Any other head counts from when it was read: the client may have sent it later, on a new connection as on a kept one. createCall and the other entry's parseRequest stage take it from both limits; tookMs and the statistics count from it too. On TLS the time counts from the reading of the head.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -201,7 +201,7 @@
     }
 
     async function handle(request: HttpRequest, response: HttpResponse): Promise<void> {
-        const arrivedAtMs = host.clock.nowMs();
+        const arrivedAtMs = host.clock.nowMs() - request.waitedMs;
         runningRequests++;
         statistics.recordRequest();
         let requestId: string | undefined;
@@ -305,6 +305,7 @@
             aheadTokens: roundOptional(delivery.placement?.queuedTokens),
             expectedStartMs: roundOptional(delivery.placement?.expectedStartMs),
             connectionAgeMs: Math.round(call.request.connectionAgeMs),
+            waitedMs: Math.round(call.request.waitedMs),
             reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
             answeredAfterMs: roundOptional(delivery.answeredAtMs === undefined ? undefined : delivery.answeredAtMs - call.arrivedAtMs),
             tookMs: Math.round(tookMs),
@@ -338,6 +339,7 @@
             requestId,
             path: request.path,
             connectionAgeMs: Math.round(request.connectionAgeMs),
+            waitedMs: Math.round(request.waitedMs),
             tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
         });
     }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -110,7 +110,7 @@
     };
     const runPipeline = createPipeline([
         createAuthenticateStage(configuration),
-        createParseRequestStage(host.clock, configuration),
+        createParseRequestStage(configuration),
         createQuarantineStage(configuration, control.time),
         createLimitsStage(host.clock, createAccountLimits(() => entryCount)),
         createQueueStage(host.clock, queue),
@@ -181,7 +181,7 @@
             requestId: host.random.nextId(),
             request,
             response,
-            startMs: host.clock.nowMs(),
+            startMs: host.clock.nowMs() - request.waitedMs,
             deadlineMs: Infinity,
             isSolo: false,
             hasDispatched: false,
--- a/src/entry/stages/parseRequest.ts
+++ b/src/entry/stages/parseRequest.ts
@@ -2,7 +2,6 @@
 import { z } from "zod";
 import { checkDefined } from "../../kernel/debug.js";
 import { getSha256 } from "../../kernel/digest.js";
-import type { Clock } from "../../kernel/host.js";
 import type { RouteObject } from "../../kernel/objects.js";
 import { getPrefixHashes } from "../../kernel/prefix.js";
 import { refuse } from "../../kernel/verdict.js";
@@ -27,12 +26,12 @@
 const servicePattern = /^\/services\/([^/?]+)(\/[^]*)?$/;
 
 /** Creates the stage that parses the request and sets its deadline. */
-export function createParseRequestStage(clock: Clock, configuration: NodeConfiguration): Stage {
+export function createParseRequestStage(configuration: NodeConfiguration): Stage {
     return {
         name: "parseRequest",
         async run(exchange, next) {
             exchange.parsed = parseRequest(exchange, configuration);
-            exchange.deadlineMs = clock.nowMs() + getTimeoutMs(exchange, exchange.parsed.route);
+            exchange.deadlineMs = exchange.startMs + getTimeoutMs(exchange, exchange.parsed.route);
             await next();
         },
     };
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -51,6 +51,13 @@
      * listen queue is not part of it.
      */
     readonly connectionAgeMs: number;
+    /**
+     * Time between the arrival of the request, as far as it is known, and the call of its handler. If the head of a request was read in the first
+     * turn of the event loop that could read it, it was there when its connection was accepted or came in the turn that accepted it, so the time
+     * counts from the acceptance: at most that turn too long. Otherwise it counts from when the head was read, because the client may have sent
+     * it later. The time before that, in the listen queue or unread on an open connection, is not known.
+     */
+    readonly waitedMs: number;
 }
 
 /** An outgoing HTTP response. */
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -20,6 +20,19 @@
 const closeGraceMs = 500;
 const maxHeaderSizeBytes = 16_384;
 
+/** A connection that was accepted. */
+interface Connection {
+    readonly acceptedAtMs: number;
+    /** Until the end of the first turn of the event loop in which data of the connection can be read. */
+    isNew: boolean;
+}
+
+/** What is known of the arrival of a request when its head has been read. */
+interface Arrival {
+    readonly connectionAgeMs: number;
+    readonly arrivedAtMs: number;
+}
+
 /** Starts a server. */
 export async function serve(options: ServerOptions, fleetSecret: string, clock: Clock, log: Logger): Promise<Listener> {
     const { host, port } = parseAddress(options.address);
@@ -30,7 +43,7 @@
         allowMethodOverride: true,
         maxBodySize: options.maxBodyBytes,
     });
-    const connectedAtMs = new WeakMap<Socket, number>();
+    const connections = new WeakMap<Socket, Connection>();
     const listener: http.RequestListener = (incoming, outgoing) => {
         if (incoming.url?.startsWith("/rpc/")) {
             if (rpc === undefined || !isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
@@ -40,14 +53,24 @@
             rpc(incoming, outgoing);
             return;
         }
-        const nowMs = clock.nowMs();
-        void handle(options, incoming, outgoing, nowMs - (connectedAtMs.get(incoming.socket) ?? nowMs));
+        const readAtMs = clock.nowMs();
+        const connection = connections.get(incoming.socket) ?? { acceptedAtMs: readAtMs, isNew: false };
+        void handle(options, incoming, outgoing, clock, {
+            connectionAgeMs: readAtMs - connection.acceptedAtMs,
+            arrivedAtMs: connection.isNew ? connection.acceptedAtMs : readAtMs,
+        });
     };
     const server = await createServer(options, listener);
     const upgrades = options.router === undefined
         ? undefined
         : acceptRpcUpgrades(server, { router: options.router, fleetSecret, maxPayloadBytes: options.maxBodyBytes });
-    server.on("connection", (socket: Socket) => connectedAtMs.set(socket, clock.nowMs()));
+    server.on("connection", (socket: Socket) => {
+        const connection = { acceptedAtMs: clock.nowMs(), isNew: true };
+        connections.set(socket, connection);
+        void pollNetwork().then(() => {
+            connection.isNew = false;
+        });
+    });
     // The server does not listen itself. The event makes it check the timeouts of its connections.
     server.emit("listening");
     const acceptor = createAcceptor(
@@ -117,7 +140,8 @@
     options: ServerOptions,
     incoming: http.IncomingMessage,
     outgoing: http.ServerResponse,
-    connectionAgeMs: number,
+    clock: Clock,
+    arrival: Arrival,
 ): Promise<void> {
     const disconnected = new AbortController();
     const { socket } = incoming;
@@ -147,7 +171,8 @@
             headers: flattenHeaders(incoming.headers),
             body,
             signal: disconnected.signal,
-            connectionAgeMs,
+            connectionAgeMs: arrival.connectionAgeMs,
+            waitedMs: clock.nowMs() - arrival.arrivedAtMs,
         };
         await options.handler(request, response);
     }
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -360,7 +360,7 @@
         };
         const { method, path, headers, body } = outgoing;
         const content = { method, path, headers: lowerCase(headers ?? {}), body: body ?? new Uint8Array() };
-        return { request: { ...content, signal: requestAbort.signal, connectionAgeMs: 0 }, response };
+        return { request: { ...content, signal: requestAbort.signal, connectionAgeMs: 0, waitedMs: 0 }, response };
     }
 
     // Calls may be lost, duplicated and reordered, and replies lost and reordered. A relayed call is delivered if neither of its
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -69,6 +69,7 @@
         body: Buffer.from("body"),
         signal: new AbortController().signal,
         connectionAgeMs: 0,
+        waitedMs: 0,
     };
     const nowMs = host.clock.nowMs();
     return {
