--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -44,15 +44,10 @@
     readonly heartbeatMs: number;
     readonly electionTimeoutMs: number;
     readonly callTimeoutMs: number;
-    /**
-     * Minimum time from an append with entries to the next one, to a peer that has everything sent before. Entries of that time share one
-     * append, so that the number of calls does not grow with the number of proposals. An entry after a quiet time is sent at once.
-     */
-    readonly appendIntervalMs: number;
 }
 
 /** Default timing, for VMs with a network latency of a few milliseconds between them. */
-export const defaultTiming: ReplicaTiming = { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 300, appendIntervalMs: 20 };
+export const defaultTiming: ReplicaTiming = { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 300 };
 
 /** Options of a replica. */
 export interface ReplicaOptions {
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -108,9 +108,6 @@
     async function replicateToPeer(peer: Peer): Promise<void> {
         while (isRunning() && !peer.isRemoved) {
             const sentRound = confirmationRound;
-            const sentAtMs = host.clock.nowMs();
-            const sentUpTo = store.lastIndex;
-            const hasNewEntries = peer.nextIndex <= sentUpTo;
             try {
                 await sendEntries(peer);
                 peer.acknowledgedRound = Math.max(peer.acknowledgedRound, sentRound);
@@ -122,9 +119,6 @@
             }
             const isIdle = peer.nextIndex > store.lastIndex && confirmationRound === sentRound;
             if (isIdle && isRunning()) await workAvailable.wait(timing.heartbeatMs);
-            // A heartbeat does not delay the next entry, and a peer that is behind gets the rest without a pause.
-            const pauseMs = hasNewEntries && peer.nextIndex > sentUpTo ? sentAtMs + timing.appendIntervalMs - host.clock.nowMs() : 0;
-            if (pauseMs > 0 && isRunning()) await sleep(host.timers, pauseMs);
         }
     }
 
--- a/test/logGroup.ts
+++ b/test/logGroup.ts
@@ -18,8 +18,6 @@
     applied: Map<number, string>;
     /** Time that applying one entry takes. */
     applyCostMs: number;
-    /** Number of append calls that this replica has made since it was last started. */
-    countAppends: () => number;
 }
 
 /** A group of log replicas. */
@@ -99,7 +97,6 @@
             store: undefined,
             applied: new Map(),
             applyCostMs: 0,
-            countAppends: () => 0,
         };
     }
 
@@ -112,21 +109,12 @@
         const host = member.vm.restart();
         member.applied = new Map();
         const store = await openStore(host.disk, folder, groupId, member.member.voterId);
-        const calls = createPeerCalls(host);
-        let appends = 0;
-        member.countAppends = () => appends;
         const replica = createReplica(host, {
             self: member.member,
             store,
             stateMachine: createMachine(member),
-            calls: {
-                ...calls,
-                append(peer, request) {
-                    appends++;
-                    return calls.append(peer, request);
-                },
-            },
-            timing: { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 200, appendIntervalMs: 20 },
+            calls: createPeerCalls(host),
+            timing: { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 200 },
             snapshotEveryEntries,
         });
         await host.network.serve({
