Count long turns of the event loop fully once they are usual

Change: only a turn that takes over twice as long as the one before counts in part, 100 ms at least.

--- a/src/kernel/acceptor.ts
+++ b/src/kernel/acceptor.ts
@@ -34,24 +34,28 @@
 export interface QueueState {
     /** Turns in a row that have accepted a connection. */
     readonly turns: number;
-    /** Time that these turns took, of each one at most a limit. */
+    /** Time that these turns took, without what a turn took much longer than the one before. */
     readonly nonEmptyMs: number;
+    readonly lastTurnMs: number;
 }
 
 const listenRetryMs = 50;
-/** Turns that it takes at least until a queue counts as old. One long turn says nothing about the age of what has come in it. */
-const minTurnsToDrop = 5;
+/** A turn of this length is never taken for an exception among shorter ones. */
+const usualTurnMs = 100;
+const maxTurnGrowth = 2;
 
 /** State of a listen queue that is empty. */
-export const emptyQueue: QueueState = { turns: 0, nonEmptyMs: 0 };
+export const emptyQueue: QueueState = { turns: 0, nonEmptyMs: 0, lastTurnMs: 0 };
 
 /**
  * Returns the state after a turn of the event loop, with the duration of the turn, or undefined if it accepted no connection. In a whole turn
- * without an accept the queue was empty. While each turn has one, a connection may have waited since the first.
+ * without an accept the queue was empty. While each turn has one, a connection may have waited since the first. A single long turn says
+ * nothing about the age of what has come in it, so of a turn that is much longer than the one before only a part counts.
  */
-export function updateQueue(state: QueueState, turnMs: number | undefined, maxTurnMs: number): QueueState {
+export function updateQueue(state: QueueState, turnMs: number | undefined): QueueState {
     if (turnMs === undefined) return emptyQueue;
-    return { turns: state.turns + 1, nonEmptyMs: state.nonEmptyMs + Math.min(turnMs, maxTurnMs) };
+    const countedMs = Math.min(turnMs, Math.max(usualTurnMs, state.lastTurnMs * maxTurnGrowth));
+    return { turns: state.turns + 1, nonEmptyMs: state.nonEmptyMs + countedMs, lastTurnMs: turnMs };
 }
 
 /** Creates an acceptor, which listens once it is told to. */
@@ -122,7 +126,7 @@
     // Runs after the poll phase of each turn, in which connections are accepted, until a turn passes without an accept.
     function endTurn(): void {
         const nowMs = clock.nowMs();
-        queue = updateQueue(queue, hasAccepted ? nowMs - turnStartedAtMs : undefined, maxAcceptWaitMs / minTurnsToDrop);
+        queue = updateQueue(queue, hasAccepted ? nowMs - turnStartedAtMs : undefined);
         hasAccepted = false;
         turnStartedAtMs = nowMs;
         if (queue.nonEmptyMs >= maxAcceptWaitMs && current?.listening) dropQueue();
