--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -78,7 +78,14 @@
     const stateMachine = createStateMachine(registry);
     const stateChanged = createNotifier(host.timers);
     const vmRecords = new Map<string, VmRecord>();
+    const openedAtMs = host.clock.nowMs();
     const store = await openStore(host.disk, options.dataFolder, options.groupId, options.self.voterId);
+    log.info("Opened the store.", {
+        snapshotIndex: store.snapshot?.index,
+        entries: store.lastIndex - store.firstIndex + 1,
+        logBytes: store.logBytes,
+        tookMs: Math.round(host.clock.nowMs() - openedAtMs),
+    });
     const replica = createReplica(host, {
         self: options.self,
         store,
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -34,6 +34,8 @@
 const pauseBetweenSlicesMs = 1;
 /** Time that a slice exceeds only if a single entry takes very long. */
 const slowSliceMs = 100;
+/** Committed entries that take longer to apply in a row are reported. */
+const slowBacklogMs = 100;
 /** Number of election timeouts without a message from the leader after which this replica reports itself as not connected. */
 const connectedElectionTimeouts = 2;
 
@@ -254,11 +256,29 @@
                 await commitIndexAdvanced.wait(timing.electionTimeoutMs);
                 continue;
             }
+            await applyBacklog();
+        }
+    }
+
+    async function applyBacklog(): Promise<void> {
+        const startedAtMs = host.clock.nowMs();
+        const firstIndex = state.appliedIndex + 1;
+        while (state.appliedIndex < state.commitIndex && !stopping.signal.aborted) {
+            const appliedBefore = state.appliedIndex;
             applySlice();
             progressed.notify();
             await takeSnapshotIfDue();
+            if (state.appliedIndex === appliedBefore) await commitIndexAdvanced.wait(timing.electionTimeoutMs);
             // Between slices the replica answers other replicas. Otherwise a long replay would look like a failure to them.
-            if (state.appliedIndex < state.commitIndex) await sleep(host.timers, pauseBetweenSlicesMs, stopping.signal);
+            else if (state.appliedIndex < state.commitIndex) await sleep(host.timers, pauseBetweenSlicesMs, stopping.signal);
+        }
+        const tookMs = host.clock.nowMs() - startedAtMs;
+        if (tookMs >= slowBacklogMs) {
+            log.info("Applied a backlog of committed entries.", {
+                firstIndex,
+                lastIndex: state.appliedIndex,
+                tookMs: Math.round(tookMs),
+            });
         }
     }
 
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -1,5 +1,5 @@
 /** Log replication by a leader: one task per peer, the commit index, check-quorum and the confirmation of leadership for reads. */
-import { createNotifier, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
+import { createNotifier, getErrorText, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import type { PeerProgress, ReplicaCore } from "./replicaTypes.js";
 import { getMembers, hasQuorum } from "./types.js";
@@ -32,10 +32,14 @@
     lastAckMs: number;
     /** True after the peer has left the membership. Its task then ends. */
     isRemoved: boolean;
+    /** Number of messages in a row that were not answered. */
+    failures: number;
 }
 
 const maxEntriesPerAppend = 512;
 const snapshotChunkBytes = 512 * 1024;
+/** Of the failures of one replica in a row, the first and each further one after this number are logged. */
+const failuresPerLogLine = 20;
 
 /** Creates the replication for a new leader. */
 export function createReplication(core: ReplicaCore): Replication {
@@ -48,6 +52,7 @@
     const acknowledged = createNotifier(host.timers);
     let confirmationRound = 0;
     let isStopped = false;
+    const log = host.createLogger("log");
     return {
         start() {
             syncPeers();
@@ -99,6 +104,7 @@
                 acknowledgedRound: 0,
                 lastAckMs: host.clock.nowMs(),
                 isRemoved: false,
+                failures: 0,
             };
             peers.set(member.voterId, peer);
             void replicateToPeer(peer);
@@ -113,8 +119,11 @@
                 peer.acknowledgedRound = Math.max(peer.acknowledgedRound, sentRound);
                 peer.lastAckMs = host.clock.nowMs();
                 acknowledged.notify();
+                if (peer.failures > 0) log.info("A replica answers again.", { voterId: peer.voterId, failures: peer.failures });
+                peer.failures = 0;
             }
-            catch {
+            catch (error) {
+                reportFailure(peer, error);
                 await sleep(host.timers, timing.heartbeatMs);
             }
             const isIdle = peer.nextIndex > store.lastIndex && confirmationRound === sentRound;
@@ -122,6 +131,17 @@
         }
     }
 
+    function reportFailure(peer: Peer, error: unknown): void {
+        if (peer.failures++ % failuresPerLogLine > 0) return;
+        log.warn("A replica did not answer.", {
+            voterId: peer.voterId,
+            failures: peer.failures,
+            nextIndex: peer.nextIndex,
+            lastIndex: store.lastIndex,
+            detail: getErrorText(error),
+        });
+    }
+
     async function sendEntries(peer: Peer): Promise<void> {
         const previousIndex = peer.nextIndex - 1;
         const previousTerm = store.getTerm(previousIndex);
--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -32,6 +32,8 @@
     readonly lastIndex: number;
     /** Index of the last entry that is synced to disk. */
     readonly durableIndex: number;
+    /** Size of the retained log on disk. */
+    readonly logBytes: number;
     /** Term of the entry at an index, or undefined if the store does not have that entry. */
     getTerm(index: number): number | undefined;
     getEntry(index: number): LogEntry | undefined;
@@ -119,6 +121,9 @@
         get durableIndex() {
             return durableIndex;
         },
+        get logBytes() {
+            return segments.reduce((total, segment) => total + segment.sizeBytes, 0);
+        },
         getTerm(index) {
             if (index === 0) return 0;
             if (index === snapshot?.index) return snapshot.term;
