Open the store of a control VM once in a start

Cause: a start decoded the whole retained log twice, once to see that the store can be opened and once to run on it. Change: prepareMember hands over the store that it has opened. openStore logs entries, bytes and time, so createControl no longer does.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -26,7 +26,7 @@
 import { createReplica } from "./log/replica.js";
 import { defaultTiming } from "./log/replicaTypes.js";
 import type { BarrierResult, ProposeResult, Replica, ReplicaTiming } from "./log/replicaTypes.js";
-import { openStore } from "./log/store.js";
+import type { LogStore } from "./log/store.js";
 import { getMembers, getVoters } from "./log/types.js";
 import type { Member } from "./log/types.js";
 import type { ControlState } from "./plugins/index.js";
@@ -37,9 +37,8 @@
 /** Options of a control VM. */
 export interface ControlOptions {
     readonly vm: string;
-    readonly groupId: string;
     readonly self: Member;
-    readonly dataFolder: string;
+    readonly store: LogStore;
     readonly createState: (register: (plugin: ControlPlugin) => void, registry: ReturnType<typeof createRegistry>) => ControlState;
     readonly timing?: ReplicaTiming;
     readonly snapshotEveryEntries?: number;
@@ -70,22 +69,15 @@
 const defaultSnapshotEveryEntries = 20_000;
 const vmRecordRetentionMs = 60_000;
 
-/** Starts a control VM on its data folder. Rejects if the store cannot be opened. */
-export async function createControl(host: Host, options: ControlOptions): Promise<Control> {
+/** Starts a control VM on its store. */
+export function createControl(host: Host, options: ControlOptions): Control {
+    const { store } = options;
     const log = host.createLogger("control");
     const registry = createRegistry();
     const state = options.createState(plugin => registry.register(plugin), registry);
     const stateMachine = createStateMachine(registry);
     const stateChanged = createNotifier(host.timers);
     const vmRecords = new Map<string, VmRecord>();
-    const openedAtMs = host.clock.nowMs();
-    const store = await openStore(host.disk, options.dataFolder, options.groupId, options.self.voterId);
-    log.info("Opened the store.", {
-        snapshotIndex: store.snapshot?.index,
-        entries: store.lastIndex - store.firstIndex + 1,
-        logBytes: store.logBytes,
-        tookMs: Math.round(host.clock.nowMs() - openedAtMs),
-    });
     const replica = createReplica(host, {
         self: options.self,
         store,
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -4,13 +4,14 @@
  * live voters than before.
  */
 import type { ControlRouter, JoinRequest } from "../kernel/contracts.js";
-import type { Disk, Host } from "../kernel/host.js";
+import type { Host } from "../kernel/host.js";
 import type { ControlReply } from "../kernel/messages.js";
 import { createRpcClients } from "../kernel/rpc.js";
 import { createStopController, getErrorText, runPeriodically, withTimeout } from "../kernel/tasks.js";
 import type { Address, FailureDomainName } from "../kernel/types.js";
 import type { PeerProgress, Replica } from "./log/replicaTypes.js";
 import { discardStore, formatStore, openStore, readStoreVoterId, UnusableStoreError } from "./log/store.js";
+import type { LogStore, StoreHost } from "./log/store.js";
 import { getMembers } from "./log/types.js";
 import type { Member, Membership } from "./log/types.js";
 
@@ -33,20 +34,28 @@
     readonly isBootstrap: boolean;
 }
 
+/** A member of a group and its open store. */
+export interface PreparedMember {
+    readonly member: Member;
+    readonly store: LogStore;
+}
+
 const maxFormatAttempts = 3;
 
 /**
- * Returns the voter id under which this VM takes part, and formats its store if there is none that can be opened. The initial
+ * Opens the store of this VM, and formats it first if there is none that can be opened. The store names the voter id under which this VM
+ * takes part. The initial
  * voters of a group are its seeds, so that they agree on the membership without communication. A VM with an emptied or
  * damaged disk gets a new voter id, because it may have voted under the old one and has lost the record of it.
  */
-export async function prepareMember(host: Host, settings: MemberSettings): Promise<Member> {
+export async function prepareMember(host: Host, settings: MemberSettings): Promise<PreparedMember> {
     const { dataFolder, groupId, address, failureDomain, seeds } = settings;
     const log = host.createLogger("group");
     for (let attempt = 0; attempt < maxFormatAttempts; attempt++) {
         const storedId = await readStoreVoterId(host.disk, dataFolder);
         if (storedId !== undefined) {
-            if (await canOpenStore(host.disk, dataFolder, groupId, storedId)) return { voterId: storedId, address, failureDomain };
+            const store = await tryOpenStore(host, dataFolder, groupId, storedId);
+            if (store !== undefined) return { member: { voterId: storedId, address, failureDomain }, store };
             log.error("The store is damaged. This VM joins under a new voter id.", { voterId: storedId });
         }
         await discardStore(host.disk, dataFolder);
@@ -65,13 +74,12 @@
     return `${address}/founder`;
 }
 
-async function canOpenStore(disk: Disk, folder: string, groupId: string, voterId: string): Promise<boolean> {
+async function tryOpenStore(host: StoreHost, folder: string, groupId: string, voterId: string): Promise<LogStore | undefined> {
     try {
-        await openStore(disk, folder, groupId, voterId);
-        return true;
+        return await openStore(host, folder, groupId, voterId);
     }
     catch (error) {
-        if (error instanceof UnusableStoreError) return false;
+        if (error instanceof UnusableStoreError) return undefined;
         throw error;
     }
 }
--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -5,7 +5,7 @@
  * because this voter may have acknowledged it. Opening the store then fails, and the VM has to rejoin under a new voter id.
  */
 import { assert, checkDefined } from "../../kernel/debug.js";
-import type { Disk } from "../../kernel/host.js";
+import type { Disk, Host } from "../../kernel/host.js";
 import { encodeRecord, hasRecordAfter, tryDecodeRecord } from "./records.js";
 import type { HardState, LogEntry, Membership, Snapshot, VoterId } from "./types.js";
 
@@ -51,6 +51,9 @@
     readSnapshotBytes(): Promise<Buffer | undefined>;
 }
 
+/** The part of a host that opens a store. */
+export type StoreHost = Pick<Host, "disk" | "clock" | "createLogger">;
+
 const formatVersion = 1;
 const maxSegmentBytes = 8 * 1024 * 1024;
 const markerFile = "marker";
@@ -92,7 +95,19 @@
 }
 
 /** Opens the store of a voter. Throws an `UnusableStoreError` if it is missing, corrupt or belongs to another voter. */
-export async function openStore(disk: Disk, folder: string, groupId: string, voterId: VoterId): Promise<LogStore> {
+export async function openStore(host: StoreHost, folder: string, groupId: string, voterId: VoterId): Promise<LogStore> {
+    const startedAtMs = host.clock.nowMs();
+    const store = await readStore(host.disk, folder, groupId, voterId);
+    host.createLogger("store").info("Opened the store.", {
+        snapshotIndex: store.snapshot?.index,
+        entries: store.lastIndex - store.firstIndex + 1,
+        logBytes: store.logBytes,
+        tookMs: Math.round(host.clock.nowMs() - startedAtMs),
+    });
+    return store;
+}
+
+async function readStore(disk: Disk, folder: string, groupId: string, voterId: VoterId): Promise<LogStore> {
     const marker = await readMarker(disk, folder, groupId, voterId);
     let hardState = await readRecordFile<HardState>(disk, folder, hardStateFile);
     let snapshot = await readSnapshot(disk, folder);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -10,7 +10,7 @@
 import type { Control } from "./control/control.js";
 import { prepareMember } from "./control/group.js";
 import type { ReplicaTiming } from "./control/log/replicaTypes.js";
-import { formatStore } from "./control/log/store.js";
+import { formatStore, openStore } from "./control/log/store.js";
 import { getVoters } from "./control/log/types.js";
 import type { Member } from "./control/log/types.js";
 import type { leaseRules } from "./control/plugins/budgets/types.js";
@@ -111,11 +111,12 @@
 
 /** Starts a control VM on a data folder that `initializeControl` has prepared. */
 export async function startControl(host: Host, settings: ControlSettings): Promise<RunningProcess<Control>> {
-    const localControl = await createControl(host, {
+    const { groupId, voterId, dataFolder } = settings;
+    const store = await openStore(host, dataFolder, groupId, voterId);
+    const localControl = createControl(host, {
         vm: settings.vm,
-        groupId: settings.groupId,
-        self: { voterId: settings.voterId, address: settings.listen, failureDomain: settings.failureDomain },
-        dataFolder: settings.dataFolder,
+        store,
+        self: { voterId, address: settings.listen, failureDomain: settings.failureDomain },
         timing: settings.timing,
         snapshotEveryEntries: settings.snapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: settings.leaseRules }),
@@ -214,7 +215,7 @@
 ): Promise<SeededProcess<Control>> {
     const { vm, failureDomain, fleetListen, groupId, dataFolder } = settings;
     let seeds = settings.seeds;
-    const self = await prepareMember(host, {
+    const { member, store } = await prepareMember(host, {
         dataFolder,
         groupId,
         address: fleetListen,
@@ -222,11 +223,10 @@
         seeds,
         isBootstrap: settings.isBootstrap,
     });
-    const localControl = await createControl(host, {
+    const localControl = createControl(host, {
         vm,
-        groupId,
-        self,
-        dataFolder,
+        self: member,
+        store,
         timing: settings.timing,
         snapshotEveryEntries: seededSnapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: gatewayLeaseRules }),
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -66,7 +66,7 @@
 
 test("a long replay after a restart of the whole group does not cost the leader its leadership", async t => {
     for (const seed of [5, 6, 7, 8, 9]) {
-        const group = await createLogGroup(seed, 3, 1_000);
+        const group = await createLogGroup(seed, 3, { snapshotEveryEntries: 1_000 });
         await proposeMany(group, 250, "a");
         const termBefore = group.getLeaders()[0]!.replica!.getStatus().term;
         for (const index of group.members.keys()) group.crash(index);
@@ -82,7 +82,7 @@
 });
 
 test("a restarted follower catches up over a snapshot after 1800 entries", async t => {
-    const group = await createLogGroup(4, 3, 40);
+    const group = await createLogGroup(4, 3, { snapshotEveryEntries: 40 });
     const leader = await group.waitForLeader();
     const crashedFollower = group.members.findIndex(member => member !== leader);
     group.crash(crashedFollower);
--- a/test/logGroup.ts
+++ b/test/logGroup.ts
@@ -1,10 +1,11 @@
 /** Test fixture: a group of log replicas on fake hosts, whose state machine records the applied values. */
 import { createPeerCalls, createRootRouter } from "../src/control/log/peers.js";
 import { createReplica } from "../src/control/log/replica.js";
-import type { Replica, StateMachine } from "../src/control/log/replicaTypes.js";
+import type { PeerCalls, Replica, StateMachine } from "../src/control/log/replicaTypes.js";
 import { formatStore, openStore } from "../src/control/log/store.js";
 import type { LogStore } from "../src/control/log/store.js";
 import type { Member } from "../src/control/log/types.js";
+import type { Timers } from "../src/kernel/host.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import type { FakeVm, Simulation } from "../src/standins/fakeHost.js";
 
@@ -37,11 +38,21 @@
     propose(index: number, value: string): Promise<number | undefined>;
 }
 
+/** Options of a group. */
+export interface LogGroupOptions {
+    readonly snapshotEveryEntries?: number;
+    /** Number of the latest values that are part of the state. All by default, so that the state grows with the log. */
+    readonly valuesInState?: number;
+    /** Replaces the calls between replicas. */
+    readonly wrapCalls?: (calls: PeerCalls, timers: Timers) => PeerCalls;
+}
+
 const folder = "/data";
 const groupId = "group";
 
 /** Creates a group and starts all its replicas. */
-export async function createLogGroup(seed: number, size: number, snapshotEveryEntries = 50): Promise<LogGroup> {
+export async function createLogGroup(seed: number, size: number, options: LogGroupOptions = {}): Promise<LogGroup> {
+    const { snapshotEveryEntries = 50, valuesInState = Infinity, wrapCalls = calls => calls } = options;
     const simulation = createSimulation(seed);
     const founders: Member[] = Array.from({ length: size }, (_, index) => createMember(index, `v${index + 1}`));
     const appliedValues = new Map<number, string>();
@@ -108,12 +119,12 @@
         const member = members[index]!;
         const host = member.vm.restart();
         member.applied = new Map();
-        const store = await openStore(host.disk, folder, groupId, member.member.voterId);
+        const store = await openStore(host, folder, groupId, member.member.voterId);
         const replica = createReplica(host, {
             self: member.member,
             store,
             stateMachine: createMachine(member),
-            calls: createPeerCalls(host),
+            calls: wrapCalls(createPeerCalls(host), host.timers),
             timing: { heartbeatMs: 50, electionTimeoutMs: 500, callTimeoutMs: 200 },
             snapshotEveryEntries,
         });
@@ -139,7 +150,7 @@
                 if (member.applyCostMs > 0) member.vm.compute(member.applyCostMs);
                 return value;
             },
-            save: () => [...member.applied],
+            save: () => [...member.applied].slice(-valuesInState),
             load(state) {
                 member.applied = new Map(state as [number, string][]);
             },
--- a/test/logRandom.test.ts
+++ b/test/logRandom.test.ts
@@ -79,7 +79,7 @@
 }
 
 async function runWithRandomFaults(seed: number, size: number): Promise<{ readonly group: LogGroup; readonly history: History; }> {
-    const group = await createLogGroup(seed, size, 30);
+    const group = await createLogGroup(seed, size, { snapshotEveryEntries: 30 });
     const history: History = { acknowledgedIndex: 0, acknowledged: new Map(), staleReads: 0, reads: 0 };
     const isDown = group.members.map(() => false);
     for (let step = 0; step < stepsPerRun; step++) {
