Forget a call between processes that its caller has given up

Cause: withTimeout settles for the caller and tells nobody. A leader that repeats appends to a replica that does not answer in time kept every copy. Change: callWithTimeout gives the call a signal; log replicas, the client of control and the directory use it; the links take it. A connection keeps a message only until it is sent. Not covered: withTimeout stays where a call goes through agents, load messages and the administration API.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -9,7 +9,7 @@
 import type { BackendServerRecord } from "../kernel/directory.js";
 import type { Host } from "../kernel/host.js";
 import { createRpcClients } from "../kernel/rpc.js";
-import { createNotifier, createStopController, getErrorText, runPeriodically, sleep, waitUntil, withTimeout } from "../kernel/tasks.js";
+import { callWithTimeout, createNotifier, createStopController, getErrorText, runPeriodically, sleep, waitUntil } from "../kernel/tasks.js";
 import type { Notifier } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
 import { createWatcherList } from "./watcherList.js";
@@ -175,11 +175,13 @@
         while (!stopping.signal.aborted && peers.get(peer.address) === peer) {
             const sentRecords = [...peer.pending.values()];
             try {
-                const call = clients.get(peer.address).spread.mutate({
-                    servers: sentRecords,
-                    watchers: [...watchers.listLocal(host.clock.nowMs())],
-                });
-                const reply = await withTimeout(host.timers, call, pushTimeoutMs, "spread");
+                const message = { servers: sentRecords, watchers: [...watchers.listLocal(host.clock.nowMs())] };
+                const reply = await callWithTimeout(
+                    host.timers,
+                    signal => clients.get(peer.address).spread.mutate(message, { signal }),
+                    pushTimeoutMs,
+                    "spread",
+                );
                 handleConfirmation(peer, sentRecords, reply.incarnation);
             }
             catch {
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -1,5 +1,5 @@
 /** Leader election of one replica: pre-vote, vote, and the replies to both requests. */
-import { getErrorText, sleep, withTimeout } from "../../kernel/tasks.js";
+import { callWithTimeout, getErrorText, sleep } from "../../kernel/tasks.js";
 import type { ReplicaCore } from "./replicaTypes.js";
 import { getVoters, hasQuorum } from "./types.js";
 import type { Member, VoteReply, VoteRequest, VoterId } from "./types.js";
@@ -94,7 +94,12 @@
             let outstandingVotes = others.length;
             const requestVote = async (voter: Member) => {
                 try {
-                    const reply = await withTimeout(host.timers, options.calls.vote(voter, request), timing.callTimeoutMs, "vote");
+                    const reply = await callWithTimeout(
+                        host.timers,
+                        signal => options.calls.vote(voter, request, signal),
+                        timing.callTimeoutMs,
+                        "vote",
+                    );
                     if (reply.isGranted) granted.add(voter.voterId);
                     else if (reply.term > term) await core.runExclusive(() => stepDownIfNewerTerm(reply.term));
                 }
--- a/src/control/log/peers.ts
+++ b/src/control/log/peers.ts
@@ -41,12 +41,15 @@
     const clients = createRpcClients<PeerRouter>(host.network);
     const getClient = (to: Recipient) => clients.get(to.address).peer;
     return {
-        vote: (to, request) => getClient(to).vote.mutate({ ...request, recipientId: to.voterId }) as Promise<VoteReply>,
-        append: (to, request) =>
-            getClient(to).append.mutate({ ...request, entries: [...request.entries], recipientId: to.voterId }) as Promise<AppendReply>,
-        installSnapshot: (to, chunk) =>
-            getClient(to).installSnapshot.mutate({ ...chunk, recipientId: to.voterId }) as Promise<SnapshotReply>,
-        startElection: (to, term) => getClient(to).startElection.mutate({ term, recipientId: to.voterId }) as Promise<void>,
+        vote: (to, request, signal) => getClient(to).vote.mutate({ ...request, recipientId: to.voterId }, { signal }) as Promise<VoteReply>,
+        append: (to, request, signal) =>
+            getClient(to).append.mutate({ ...request, entries: [...request.entries], recipientId: to.voterId }, { signal }) as Promise<
+                AppendReply
+            >,
+        installSnapshot: (to, chunk, signal) =>
+            getClient(to).installSnapshot.mutate({ ...chunk, recipientId: to.voterId }, { signal }) as Promise<SnapshotReply>,
+        startElection: (to, term, signal) =>
+            getClient(to).startElection.mutate({ term, recipientId: to.voterId }, { signal }) as Promise<void>,
     };
 }
 
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -7,7 +7,7 @@
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Host } from "../../kernel/host.js";
 import type { ApplyContext } from "../../kernel/registry.js";
-import { createNotifier, createStopController, getErrorText, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
+import { callWithTimeout, createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import { createControlClock } from "./controlClock.js";
 import { createElection } from "./election.js";
@@ -404,7 +404,12 @@
         );
         if (isCaughtUp && current.isRunning()) {
             const term = store.hardState.term;
-            await withTimeout(host.timers, options.calls.startElection(target, term), timing.callTimeoutMs, "leadership transfer")
+            await callWithTimeout(
+                host.timers,
+                signal => options.calls.startElection(target, term, signal),
+                timing.callTimeoutMs,
+                "leadership transfer",
+            )
                 .catch(() => undefined);
             for (let waitedMs = 0; waitedMs < transferTimeoutMs && current.isRunning(); waitedMs += timing.heartbeatMs) {
                 await sleep(host.timers, timing.heartbeatMs);
--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -24,12 +24,12 @@
 /** Voter id of a replica and its last known address. */
 export type PeerAddress = Pick<Member, "voterId" | "address">;
 
-/** Remote procedure calls to other replicas. */
+/** Remote procedure calls to other replicas. The signal says that nobody waits for the reply any longer. */
 export interface PeerCalls {
-    vote(to: PeerAddress, request: VoteRequest): Promise<VoteReply>;
-    append(to: PeerAddress, request: AppendRequest): Promise<AppendReply>;
-    installSnapshot(to: PeerAddress, chunk: SnapshotChunk): Promise<SnapshotReply>;
-    startElection(to: PeerAddress, term: number): Promise<void>;
+    vote(to: PeerAddress, request: VoteRequest, signal: AbortSignal): Promise<VoteReply>;
+    append(to: PeerAddress, request: AppendRequest, signal: AbortSignal): Promise<AppendReply>;
+    installSnapshot(to: PeerAddress, chunk: SnapshotChunk, signal: AbortSignal): Promise<SnapshotReply>;
+    startElection(to: PeerAddress, term: number, signal: AbortSignal): Promise<void>;
 }
 
 /** The state machine to which committed commands are applied. */
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -1,9 +1,9 @@
 /** Log replication by a leader: one task per peer, the commit index, check-quorum and the confirmation of leadership for reads. */
-import { createNotifier, getErrorText, sleep, waitUntil, withTimeout } from "../../kernel/tasks.js";
+import { callWithTimeout, createNotifier, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import type { PeerProgress, ReplicaCore } from "./replicaTypes.js";
 import { getMembers, hasQuorum } from "./types.js";
-import type { AppendReply, AppendRequest, SnapshotReply, VoterId } from "./types.js";
+import type { AppendReply, AppendRequest, SnapshotChunk, SnapshotReply, VoterId } from "./types.js";
 
 /** Replication during one leader's term. */
 export interface Replication {
@@ -157,9 +157,9 @@
             entries: [...store.getEntries(peer.nextIndex, maxEntriesPerAppend)],
             commitIndex: state.commitIndex,
         };
-        const reply: AppendReply = await withTimeout(
+        const reply: AppendReply = await callWithTimeout(
             host.timers,
-            options.calls.append(peer, request),
+            signal => options.calls.append(peer, request, signal),
             timing.callTimeoutMs,
             "append",
         );
@@ -179,17 +179,18 @@
         const data = await store.readSnapshotBytes();
         if (data === undefined || snapshot === undefined) return;
         if (peer.snapshotOffsetBytes > data.length) peer.snapshotOffsetBytes = 0;
-        const reply: SnapshotReply = await withTimeout(
+        const chunk: SnapshotChunk = {
+            term,
+            leaderId: self.voterId,
+            leaderAddress: self.address,
+            index: snapshot.index,
+            offsetBytes: peer.snapshotOffsetBytes,
+            totalBytes: data.length,
+            dataBase64: data.toString("base64", peer.snapshotOffsetBytes, peer.snapshotOffsetBytes + snapshotChunkBytes),
+        };
+        const reply: SnapshotReply = await callWithTimeout(
             host.timers,
-            options.calls.installSnapshot(peer, {
-                term,
-                leaderId: self.voterId,
-                leaderAddress: self.address,
-                index: snapshot.index,
-                offsetBytes: peer.snapshotOffsetBytes,
-                totalBytes: data.length,
-                dataBase64: data.toString("base64", peer.snapshotOffsetBytes, peer.snapshotOffsetBytes + snapshotChunkBytes),
-            }),
+            signal => options.calls.installSnapshot(peer, chunk, signal),
             timing.callTimeoutMs * 10,
             "snapshot",
         );
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -9,7 +9,7 @@
 import type { Host } from "./host.js";
 import type { CommandInputs, CommandKind, CommandResults, ControlReply, QueryInputs, QueryKind, QueryResults } from "./messages.js";
 import { createRpcClients, longPollOptions } from "./rpc.js";
-import { getErrorText, sleep, withTimeout } from "./tasks.js";
+import { callWithTimeout, getErrorText, sleep } from "./tasks.js";
 import type { Address, OperationId } from "./types.js";
 
 /** Outcome of a call to control. */
@@ -53,6 +53,9 @@
 /** Default timing, for a fleet in which calls may take long. */
 export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, hedgingDelayMs: 500, probeIntervalMs: 1_000 };
 
+/** Sends a call on a client. The signal says that nobody waits for the reply any longer. */
+type SendCall<T> = (client: TRPCClient<ControlRouter>, signal: AbortSignal) => Promise<T>;
+
 /** Delay after each attempt that completes a round over all members. */
 const delayBetweenRoundsMs = 50;
 /** Time that a long poll and its reply may spend outside of control's wait. A longer one is logged. */
@@ -83,21 +86,21 @@
         submit: (kind, input, options) => {
             const operationId = options.operationId ?? host.random.nextId();
             countCall(kind);
-            return call(client => client.submit.mutate({ operationId, kind, input }) as never, options.timeoutMs);
+            return call((client, signal) => client.submit.mutate({ operationId, kind, input }, { signal }) as never, options.timeoutMs);
         },
         query: (kind, input, options) => {
             countCall(kind);
-            return call(client => client.query.query({ kind, input }) as never, options.timeoutMs);
+            return call((client, signal) => client.query.query({ kind, input }, { signal }) as never, options.timeoutMs);
         },
-        heartbeat: (heartbeat, timeoutMs) => call(client => client.heartbeat.mutate(heartbeat) as never, timeoutMs),
+        heartbeat: (heartbeat, timeoutMs) => call((client, signal) => client.heartbeat.mutate(heartbeat, { signal }) as never, timeoutMs),
         watch: request =>
             callPreferredMember(
-                client => client.watch.query(request, longPollOptions) as Promise<WatchReply>,
+                (client, signal) => client.watch.query(request, { ...longPollOptions, signal }) as Promise<WatchReply>,
                 request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
             ),
         watchDirectory: request =>
             callPreferredMember(
-                client => client.watchDirectory.query(request, longPollOptions) as Promise<DirectoryReply>,
+                (client, signal) => client.watchDirectory.query(request, { ...longPollOptions, signal }) as Promise<DirectoryReply>,
                 request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
             ),
         getCallCounts: () => callCounts,
@@ -109,7 +112,7 @@
 
     // A control VM that has lost contact with its leader may return stale data, so its reply is discarded.
     async function callPreferredMember<T extends { readonly isConnected: boolean; readonly waitedMs?: number; }>(
-        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        send: SendCall<T>,
         timeoutMs: number,
     ): Promise<T | undefined> {
         const path = paths.getPreferredMemberPath();
@@ -136,7 +139,7 @@
 
     // Tries one path after another until the leader answers or the timeout expires.
     async function call<T>(
-        send: (client: TRPCClient<ControlRouter>) => Promise<ControlReply<T>>,
+        send: SendCall<ControlReply<T>>,
         timeoutMs: number,
     ): Promise<ControlOutcome<T>> {
         const deadlineMs = host.clock.nowMs() + timeoutMs;
@@ -161,7 +164,7 @@
 
     // Hedging is safe: a command carries an operation id, so control applies it only once even if it arrives on both paths.
     async function tryHedged<T>(
-        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        send: SendCall<T>,
         path: ControlPath,
         timeoutMs: number,
     ): Promise<T | undefined> {
@@ -178,12 +181,17 @@
     }
 
     async function tryOnce<T>(
-        send: (client: TRPCClient<ControlRouter>) => Promise<T>,
+        send: SendCall<T>,
         path: ControlPath,
         timeoutMs: number,
     ): Promise<T | undefined> {
         try {
-            const reply = await withTimeout(host.timers, send(clients.get(path.address, path.relay)), timeoutMs, "call to control");
+            const reply = await callWithTimeout(
+                host.timers,
+                signal => send(clients.get(path.address, path.relay), signal),
+                timeoutMs,
+                "call to control",
+            );
             markPathWorking(path);
             return reply;
         }
@@ -215,7 +223,12 @@
         while (paths.isDirectPathAvoided(address) && paths.listMembers().includes(address)) {
             await sleep(host.timers, timing.probeIntervalMs);
             try {
-                await withTimeout(host.timers, clients.get(address).ping.query(), timing.attemptTimeoutMs, "probe");
+                await callWithTimeout(
+                    host.timers,
+                    signal => clients.get(address).ping.query(undefined, { signal }),
+                    timing.attemptTimeoutMs,
+                    "probe",
+                );
                 markPathWorking({ address });
             }
             catch (error) {
--- a/src/kernel/rpcConnection.ts
+++ b/src/kernel/rpcConnection.ts
@@ -56,7 +56,9 @@
 
 /** Opens a connection. Calls may be made at once. */
 export function openRpcConnection(address: Address, options: RpcConnectionOptions): RpcConnection {
-    const pending = new Map<number, PendingCall & { readonly message: string; readonly sinceTick: number; }>();
+    const pending = new Map<number, PendingCall & { readonly sinceTick: number; }>();
+    /** Messages of calls that were made before the connection was open. */
+    const unsent = new Map<number, string>();
     let tcp: Socket | undefined;
     let lastId = 0;
     let isUnanswered = false;
@@ -79,7 +81,8 @@
     setTimeout(() => setImmediate(() => isUnanswered = tcp?.connecting !== false), unansweredConnectMs).unref();
     socket.on("open", () => {
         tcp?.setKeepAlive(true, tcpKeepAliveMs);
-        for (const { message } of pending.values()) socket.send(message);
+        for (const message of unsent.values()) socket.send(message);
+        unsent.clear();
         if (pending.size === 0) becomeIdle();
         else watch();
     });
@@ -107,13 +110,15 @@
             const id = ++lastId;
             const { type, path, input } = call.op;
             const message = JSON.stringify({ id, method: type, params: { path, input } });
-            pending.set(id, { ...call, message, sinceTick: tickCount });
+            pending.set(id, { ...call, sinceTick: tickCount });
             if (socket.readyState === WebSocket.OPEN) {
                 if (pending.size === 1) tcp?.ref();
                 socket.send(message);
                 watch();
             }
+            else if (!isEnded) unsent.set(id, message);
             return () => {
+                unsent.delete(id);
                 if (pending.delete(id) && pending.size === 0 && socket.readyState === WebSocket.OPEN) becomeIdle();
             };
         },
@@ -150,6 +155,7 @@
         socket.terminate();
         const calls = [...pending.values()];
         pending.clear();
+        unsent.clear();
         if (error !== undefined) { for (const call of calls) call.fail(error); }
         return calls;
     }
--- a/src/kernel/rpcLinks.ts
+++ b/src/kernel/rpcLinks.ts
@@ -42,17 +42,19 @@
     readonly method: "GET" | "POST";
     readonly headers: Record<string, string>;
     readonly body?: string;
+    readonly signal?: AbortSignal;
 }
 
 // Implements only the part of `fetch` that the tRPC link needs. The full `fetch` costs several times as much.
 async function callPeer(pool: Agent, url: string, call: PeerCall): Promise<{ readonly ok: boolean; json(): Promise<unknown>; }> {
-    const { method, headers, body } = call;
+    const { method, headers, body, signal } = call;
     // The timeouts ensure that a call on a dead connection does not occupy it forever.
     const response = await undiciRequest(url, {
         dispatcher: pool,
         method,
         headers,
         body,
+        signal,
         headersTimeout: peerCallTimeoutMs,
         bodyTimeout: peerCallTimeoutMs,
     });
--- a/src/kernel/rpcSockets.ts
+++ b/src/kernel/rpcSockets.ts
@@ -55,10 +55,12 @@
                             overHttp = sendOverHttp(request).subscribe(observer);
                         },
                     });
-                    return () => {
+                    const giveUp = () => {
                         forget();
                         overHttp?.unsubscribe();
                     };
+                    request.op.signal?.addEventListener("abort", giveUp, { once: true });
+                    return giveUp;
                 });
             };
         },
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -59,6 +59,25 @@
     });
 }
 
+/**
+ * Makes a call and settles like it, or rejects with a `TimeoutError` after the timeout. A call that is given up is told by its signal, so
+ * that neither its message nor what waits for its answer is kept.
+ */
+export async function callWithTimeout<T>(
+    timers: Timers,
+    call: (signal: AbortSignal) => Promise<T>,
+    timeoutMs: number,
+    operation: string,
+): Promise<T> {
+    const givenUp = new AbortController();
+    try {
+        return await withTimeout(timers, call(givenUp.signal), timeoutMs, operation);
+    }
+    finally {
+        givenUp.abort();
+    }
+}
+
 /** Creates the controller that stops a component. Any number of tasks may listen on its signal without a listener leak warning. */
 export function createStopController(): AbortController {
     const controller = new AbortController();
--- a/test/rpcSocket.test.ts
+++ b/test/rpcSocket.test.ts
@@ -11,7 +11,7 @@
 import type { Host, Listener } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { createRpcClients, longPollOptions, rpc } from "../src/kernel/rpc.js";
-import { sleep } from "../src/kernel/tasks.js";
+import { callWithTimeout, sleep } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 // The silence of real connections takes its time. This is the limit of `npm test`.
@@ -369,6 +369,26 @@
     return Number(address.slice(address.lastIndexOf(":") + 1));
 }
 
+test("a call that is given up while its connection is being opened is not sent later", async t => {
+    const host = createHost();
+    const listener = await serveRouter(host);
+    let release = (): void => undefined;
+    const slowProxy = createServer(front => {
+        front.on("error", () => undefined);
+        release = () =>
+            void front.pipe(createConnection(getPort(listener.address), "127.0.0.1").on("error", () => front.destroy())).pipe(front);
+    });
+    await listen(slowProxy);
+    const client = getClient(host, getAddress(slowProxy));
+    const givenUp = callWithTimeout(host.timers, signal => client.held.query(undefined, { signal }), 50, "call");
+    t.match(await getOutcomeWithin(host, givenUp, atOnceMs), /^failed: call took longer than 50 ms/);
+    release();
+    t.equal(await getOutcomeWithin(host, client.quick.query(), atOnceMs), "answered answered");
+    t.equal(held.size, 0);
+    await listener.close();
+    await new Promise(resolve => slowProxy.close(resolve));
+});
+
 test("a peer that accepts and never answers the handshake fails calls after the connect timeout", async t => {
     const host = createHost();
     const server = createServer(socket => socket.on("error", () => undefined));
