--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -28,7 +28,11 @@
 const readBarrierTimeoutMs = 2_000;
 const transferTimeoutMs = 3_000;
 const catchUpTimeoutMs = 60_000;
-const entriesKeptAfterSnapshot = 1_000;
+/**
+ * A snapshot is due once the entries since the last one take this much of the disk, or as much as the last snapshot if that is more. So
+ * the log, and with it the time of a start, is bounded by the size of the state.
+ */
+const minSnapshotBytes = 512 * 1024;
 /** Committed entries are applied for at most this long without a pause. Much shorter than a heartbeat interval. */
 const maxSliceMs = 10;
 const pauseBetweenSlicesMs = 1;
@@ -63,6 +67,8 @@
         hasDiskFailed: false,
         isTransferringLeadership: false,
     };
+    /** Size of the entries applied since the last snapshot. */
+    let bytesSinceSnapshot = 0;
     let lastExclusiveTask: Promise<unknown> = Promise.resolve();
     let replication: Replication | undefined;
     const core: ReplicaCore = {
@@ -300,6 +306,7 @@
     function applyEntry(entry: LogEntry): void {
         const result = entry.kind === "command" ? stateMachine.apply(entry, createContext(entry)) : undefined;
         state.appliedIndex = entry.index;
+        bytesSinceSnapshot += store.getEntryBytes(entry.index);
         if (entry.kind === "membership") stepDownIfRemoved(entry.membership);
         const proposal = pendingProposals.get(entry.index);
         if (proposal === undefined) return;
@@ -327,8 +334,9 @@
     }
 
     async function takeSnapshotIfDue(): Promise<void> {
-        const lastSnapshotIndex = store.snapshot?.index ?? 0;
-        if (state.appliedIndex - lastSnapshotIndex < options.snapshotEveryEntries) return;
+        const entriesSinceSnapshot = state.appliedIndex - (store.snapshot?.index ?? 0);
+        const snapshotEveryBytes = Math.max(minSnapshotBytes, store.snapshotBytes);
+        if (entriesSinceSnapshot < options.snapshotEveryEntries && bytesSinceSnapshot < snapshotEveryBytes) return;
         const lastApplied = checkDefined(store.getEntry(state.appliedIndex), "the last applied entry must be in the store");
         const snapshot: Snapshot = {
             index: lastApplied.index,
@@ -338,7 +346,8 @@
             state: stateMachine.save(),
         };
         try {
-            await store.saveSnapshot(snapshot, entriesKeptAfterSnapshot);
+            await store.saveSnapshot(snapshot, snapshotEveryBytes);
+            bytesSinceSnapshot = 0;
         }
         catch (error) {
             handleDiskError(error);
@@ -349,6 +358,7 @@
         if (snapshot === undefined) return;
         stateMachine.load(snapshot.state);
         state.appliedIndex = snapshot.index;
+        bytesSinceSnapshot = 0;
         state.commitIndex = Math.max(state.commitIndex, snapshot.index);
         progressed.notify();
     }
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -36,7 +36,8 @@
     failures: number;
 }
 
-const maxEntriesPerAppend = 512;
+/** An append has to arrive, be stored and be answered within the timeout of one call, on a slow link too. */
+const maxAppendBytes = 256 * 1024;
 const snapshotChunkBytes = 512 * 1024;
 /** Of the failures of one replica in a row, the first and each further one after this number are logged. */
 const failuresPerLogLine = 20;
@@ -154,7 +155,7 @@
             leaderAddress: self.address,
             previousIndex,
             previousTerm,
-            entries: [...store.getEntries(peer.nextIndex, maxEntriesPerAppend)],
+            entries: [...store.getEntries(peer.nextIndex, maxAppendBytes)],
             commitIndex: state.commitIndex,
         };
         const reply: AppendReply = await callWithTimeout(
--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -34,17 +34,25 @@
     readonly durableIndex: number;
     /** Size of the retained log on disk. */
     readonly logBytes: number;
+    /** Size of the last snapshot on disk. 0 if there is none. */
+    readonly snapshotBytes: number;
     /** Term of the entry at an index, or undefined if the store does not have that entry. */
     getTerm(index: number): number | undefined;
     getEntry(index: number): LogEntry | undefined;
-    getEntries(fromIndex: number, maxEntries: number): readonly LogEntry[];
+    /** Encoded size of an entry. 0 if the store does not have it. */
+    getEntryBytes(index: number): number;
+    /** Returns consecutive entries whose encoded sizes add up to at most `maxBytes`, but always the first one. */
+    getEntries(fromIndex: number, maxBytes: number): readonly LogEntry[];
     /** Appends entries, which must continue from the last index. Concurrent calls share one sync. */
     append(entries: readonly LogEntry[]): Promise<void>;
     /** Removes the entry at an index and all later ones. */
     truncateFrom(index: number): Promise<void>;
     saveHardState(state: HardState): Promise<void>;
-    /** Makes a snapshot durable, then removes the entries that it covers, except the last ones, which lagging followers may need. */
-    saveSnapshot(snapshot: Snapshot, retainedEntries: number): Promise<void>;
+    /**
+     * Makes a snapshot durable, then removes old segments whose entries it covers, as long as at least `retainedBytes` of the log remain
+     * for followers that lag behind.
+     */
+    saveSnapshot(snapshot: Snapshot, retainedBytes: number): Promise<void>;
     /** Replaces the whole log by a snapshot from the leader. */
     installSnapshot(snapshot: Snapshot): Promise<void>;
     /** Encoded bytes of the last snapshot, which a leader sends in chunks. */
@@ -55,12 +63,25 @@
 export type StoreHost = Pick<Host, "disk" | "clock" | "createLogger">;
 
 const formatVersion = 1;
-const maxSegmentBytes = 8 * 1024 * 1024;
+/** Old entries are removed in whole segments, so this is also how much more than necessary is kept. */
+const maxSegmentBytes = 512 * 1024;
 const markerFile = "marker";
 const hardStateFile = "hard-state";
 const snapshotFile = "snapshot";
 const segmentPrefix = "segment-";
 
+interface StoredEntry {
+    readonly entry: LogEntry;
+    readonly sizeBytes: number;
+}
+
+interface PendingAppend {
+    readonly records: readonly Buffer[];
+    readonly lastIndex: number;
+    readonly done: () => void;
+    readonly failed: (error: unknown) => void;
+}
+
 interface Segment {
     readonly file: string;
     readonly firstIndex: number;
@@ -111,13 +132,14 @@
     const marker = await readMarker(disk, folder, groupId, voterId);
     let hardState = await readRecordFile<HardState>(disk, folder, hardStateFile);
     let snapshot = await readSnapshot(disk, folder);
+    let snapshotBytes = snapshot === undefined ? 0 : await getFileBytes(disk, `${folder}/${snapshotFile}`);
     const segments: Segment[] = [];
-    let entries: LogEntry[] = [];
+    let entries: StoredEntry[] = [];
     await readSegments();
     let durableIndex = getLastIndex();
     // Writes are chained, so that they reach the files one at a time and in the order of the calls.
     let lastOperation: Promise<unknown> = Promise.resolve();
-    let unsynced: { readonly entries: readonly LogEntry[]; readonly done: () => void; readonly failed: (error: unknown) => void; }[] = [];
+    let unsynced: PendingAppend[] = [];
 
     return {
         marker,
@@ -128,7 +150,7 @@
             return snapshot;
         },
         get firstIndex() {
-            return entries[0]?.index ?? (snapshot?.index ?? 0) + 1;
+            return entries[0]?.entry.index ?? (snapshot?.index ?? 0) + 1;
         },
         get lastIndex() {
             return getLastIndex();
@@ -137,26 +159,28 @@
             return durableIndex;
         },
         get logBytes() {
-            return segments.reduce((total, segment) => total + segment.sizeBytes, 0);
+            return getLogBytes();
         },
         getTerm(index) {
             if (index === 0) return 0;
             if (index === snapshot?.index) return snapshot.term;
             return getEntry(index)?.term;
         },
-        getEntry,
-        getEntries(fromIndex, maxEntries) {
-            const first = entries[0]?.index ?? 1;
-            return entries.slice(Math.max(0, fromIndex - first), Math.max(0, fromIndex - first) + maxEntries);
+        get snapshotBytes() {
+            return snapshotBytes;
         },
+        getEntry,
+        getEntryBytes: index => getStoredEntry(index)?.sizeBytes ?? 0,
+        getEntries,
         append(newEntries) {
             assert(
                 newEntries.length === 0 || newEntries[0]!.index === getLastIndex() + 1,
                 "appended entries must continue from the last index",
             );
-            for (const entry of newEntries) entries.push(entry);
+            const records = newEntries.map(entry => encodeRecord(entry));
+            for (const [position, entry] of newEntries.entries()) entries.push({ entry, sizeBytes: records[position]!.length });
             return new Promise((done, failed) => {
-                unsynced.push({ entries: newEntries, done, failed });
+                unsynced.push({ records, lastIndex: getLastIndex(), done, failed });
                 void runInOrder(flush);
             });
         },
@@ -166,20 +190,16 @@
                 await replaceFile(disk, folder, hardStateFile, encodeRecord(state));
                 hardState = state;
             }),
-        saveSnapshot: (newSnapshot, retainedEntries) =>
+        saveSnapshot: (newSnapshot, retainedBytes) =>
             runInOrder(async () => {
                 if (newSnapshot.index <= (snapshot?.index ?? 0)) return;
-                await replaceFile(disk, folder, snapshotFile, encodeRecord(newSnapshot));
-                snapshot = newSnapshot;
-                await removeEntriesBefore(newSnapshot.index - retainedEntries + 1);
+                await writeSnapshot(newSnapshot);
+                await removeOldSegments(retainedBytes);
             }),
         installSnapshot: newSnapshot =>
             runInOrder(async () => {
-                await replaceFile(disk, folder, snapshotFile, encodeRecord(newSnapshot));
-                snapshot = newSnapshot;
-                entries = [];
-                for (const segment of segments.splice(0)) await disk.remove(`${folder}/${segment.file}`);
-                await disk.syncFolder(folder);
+                await writeSnapshot(newSnapshot);
+                await removeAllSegments();
                 durableIndex = newSnapshot.index;
             }),
         async readSnapshotBytes() {
@@ -195,21 +215,43 @@
     }
 
     function getLastIndex(): number {
-        return entries.at(-1)?.index ?? snapshot?.index ?? 0;
+        return entries.at(-1)?.entry.index ?? snapshot?.index ?? 0;
     }
 
-    function getEntry(index: number): LogEntry | undefined {
-        const first = entries[0]?.index;
+    function getStoredEntry(index: number): StoredEntry | undefined {
+        const first = entries[0]?.entry.index;
         return first === undefined ? undefined : entries[index - first];
     }
 
+    function getEntry(index: number): LogEntry | undefined {
+        return getStoredEntry(index)?.entry;
+    }
+
+    function getEntries(fromIndex: number, maxBytes: number): readonly LogEntry[] {
+        const selected: LogEntry[] = [];
+        let remainingBytes = maxBytes;
+        for (let stored = getStoredEntry(fromIndex); stored !== undefined; stored = getStoredEntry(fromIndex + selected.length)) {
+            remainingBytes -= stored.sizeBytes;
+            if (selected.length > 0 && remainingBytes < 0) break;
+            selected.push(stored.entry);
+        }
+        return selected;
+    }
+
+    async function writeSnapshot(newSnapshot: Snapshot): Promise<void> {
+        const record = encodeRecord(newSnapshot);
+        await replaceFile(disk, folder, snapshotFile, record);
+        snapshot = newSnapshot;
+        snapshotBytes = record.length;
+    }
+
     // Writes all pending appends with one write and one sync.
     async function flush(): Promise<void> {
         const batch = unsynced;
         if (batch.length === 0) return;
         unsynced = [];
         try {
-            await writeEntries(batch.flatMap(append => append.entries));
+            await writeRecords(batch.flatMap(append => append.records), batch.at(-1)!.lastIndex);
             for (const append of batch) append.done();
         }
         catch (error) {
@@ -217,15 +259,14 @@
             // added during the write. Otherwise a later write would leave a gap in the file.
             const failedAppends = [...batch, ...unsynced];
             unsynced = [];
-            entries = entries.filter(entry => entry.index <= durableIndex);
+            entries = entries.filter(({ entry }) => entry.index <= durableIndex);
             for (const append of failedAppends) append.failed(error);
         }
     }
 
-    async function writeEntries(newEntries: readonly LogEntry[]): Promise<void> {
-        if (newEntries.length === 0) return;
-        const segment = await getWritableSegment(newEntries[0]!.index);
-        const records = newEntries.map(entry => encodeRecord(entry));
+    async function writeRecords(records: readonly Buffer[], lastIndex: number): Promise<void> {
+        if (records.length === 0) return;
+        const segment = await getWritableSegment(lastIndex - records.length + 1);
         const path = `${folder}/${segment.file}`;
         try {
             await disk.append(path, Buffer.concat(records));
@@ -240,7 +281,7 @@
             segment.offsets.push(segment.sizeBytes);
             segment.sizeBytes += record.length;
         }
-        durableIndex = newEntries.at(-1)!.index;
+        durableIndex = lastIndex;
     }
 
     async function getWritableSegment(nextIndex: number): Promise<Segment> {
@@ -256,7 +297,7 @@
 
     async function truncateFrom(index: number): Promise<void> {
         await flush();
-        entries = entries.filter(entry => entry.index < index);
+        entries = entries.filter(({ entry }) => entry.index < index);
         while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) {
             await disk.remove(`${folder}/${segments.pop()!.file}`);
         }
@@ -274,12 +315,25 @@
         durableIndex = Math.min(durableIndex, getLastIndex());
     }
 
-    async function removeEntriesBefore(index: number): Promise<void> {
-        while (segments.length > 1 && segments[1]!.firstIndex <= index) {
+    async function removeOldSegments(retainedBytes: number): Promise<void> {
+        let logBytes = getLogBytes();
+        const isCovered = (segment: Segment | undefined) => segment !== undefined && segment.firstIndex <= (snapshot?.index ?? 0) + 1;
+        while (isCovered(segments[1]) && logBytes - segments[0]!.sizeBytes >= retainedBytes) {
+            logBytes -= segments[0]!.sizeBytes;
             await disk.remove(`${folder}/${segments.shift()!.file}`);
         }
-        const firstRetainedIndex = segments[0]?.firstIndex ?? index;
-        entries = entries.filter(entry => entry.index >= Math.max(firstRetainedIndex, index));
+        const firstIndex = segments[0]?.firstIndex ?? 0;
+        entries = entries.filter(({ entry }) => entry.index >= firstIndex);
+    }
+
+    async function removeAllSegments(): Promise<void> {
+        entries = [];
+        for (const segment of segments.splice(0)) await disk.remove(`${folder}/${segment.file}`);
+        await disk.syncFolder(folder);
+    }
+
+    function getLogBytes(): number {
+        return segments.reduce((total, segment) => total + segment.sizeBytes, 0);
     }
 
     async function readSegments(): Promise<void> {
@@ -289,11 +343,11 @@
             await readSegment(file, data, position === segmentNames.length - 1);
         }
         const snapshotIndex = snapshot?.index ?? 0;
-        if (entries.length > 0 && entries[0]!.index > snapshotIndex + 1) {
+        if (entries.length > 0 && entries[0]!.entry.index > snapshotIndex + 1) {
             throw new UnusableStoreError(`${folder} lacks log entries after snapshot index ${snapshotIndex}`);
         }
         // The process may have crashed after a snapshot from the leader was saved, before the segments it replaces were removed.
-        if (entries.length > 0 && entries.at(-1)!.index < snapshotIndex) entries = [];
+        if (entries.length > 0 && entries.at(-1)!.entry.index < snapshotIndex) entries = [];
     }
 
     async function readSegment(file: string, data: Buffer, isLast: boolean): Promise<void> {
@@ -313,9 +367,9 @@
             if (entry.index !== firstIndex + segment.offsets.length) {
                 throw new UnusableStoreError(`${folder}/${file} contains entry ${entry.index} out of order`);
             }
+            entries.push({ entry, sizeBytes: record.endOffset - segment.sizeBytes });
             segment.offsets.push(segment.sizeBytes);
             segment.sizeBytes = record.endOffset;
-            entries.push(entry);
         }
         segments.push(segment);
     }
@@ -348,6 +402,10 @@
     return readRecordFile<Snapshot>(disk, folder, snapshotFile);
 }
 
+async function getFileBytes(disk: Disk, file: string): Promise<number> {
+    return (await disk.read(file))?.length ?? 0;
+}
+
 async function replaceFile(disk: Disk, folder: string, file: string, data: Uint8Array): Promise<void> {
     const temporaryPath = `${folder}/${file}.tmp`;
     await disk.write(temporaryPath, data);
--- a/test/boundedHistory.test.ts
+++ b/test/boundedHistory.test.ts
@@ -2,9 +2,78 @@
 import { test } from "tap";
 import { prepareMember } from "../src/control/group.js";
 import type { PeerCalls } from "../src/control/log/replicaTypes.js";
-import type { Disk } from "../src/kernel/host.js";
+import type { Disk, Timers } from "../src/kernel/host.js";
+import { sleep } from "../src/kernel/tasks.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import { createLogGroup } from "./logGroup.js";
+import type { LogGroup } from "./logGroup.js";
+
+const largeValueBytes = 64 * 1024;
+const options = { snapshotEveryEntries: 250, valuesInState: 2 };
+
+async function proposeLargeValues(group: LogGroup, count: number, prefix: string): Promise<void> {
+    const leader = group.members.indexOf(await group.waitForLeader());
+    for (let number = 0; number < count; number++) {
+        const value = `${prefix}${number}`.padEnd(largeValueBytes, ".");
+        if (await group.simulation.runUntil(group.propose(leader, value), 10_000) === undefined) throw new Error("not applied");
+    }
+}
+
+function getDiskBytes(group: LogGroup, index: number): number {
+    const { disk } = group.members[index]!.vm;
+    return disk.listFiles().reduce((total, file) => total + disk.getSizeBytes(file), 0);
+}
+
+test("a long history of large entries takes no more of the disk than a short one", async t => {
+    const group = await createLogGroup(21, 3, options);
+    await proposeLargeValues(group, 100, "short");
+    const shortBytes = Math.max(...group.members.map((_, index) => getDiskBytes(group, index)));
+    await proposeLargeValues(group, 900, "long");
+    const longBytes = Math.max(...group.members.map((_, index) => getDiskBytes(group, index)));
+    t.ok(longBytes <= 1.5 * shortBytes, `${longBytes} bytes after 1,000 entries, ${shortBytes} after 100`);
+});
+
+test("a new leader reads and applies no more after a long history of large entries than after a short one", async t => {
+    const group = await createLogGroup(22, 3, options);
+    const countReplayed = async () => {
+        for (const index of group.members.keys()) group.crash(index);
+        for (const index of group.members.keys()) await group.start(index);
+        const { store, replica } = group.members[0]!;
+        return { entries: store!.lastIndex - store!.firstIndex + 1, replayed: store!.lastIndex - replica!.getStatus().appliedIndex };
+    };
+    await proposeLargeValues(group, 100, "short");
+    const short = await countReplayed();
+    await proposeLargeValues(group, 140, "long");
+    const long = await countReplayed();
+    t.ok(long.entries <= short.entries * 1.5, `${long.entries} entries kept after 240, ${short.entries} after 100`);
+    t.ok(long.replayed <= Math.max(16, short.replayed * 1.5), `${long.replayed} replayed after 240, ${short.replayed} after 100`);
+});
+
+/** Bytes per second of the link to each replica. A message of 512 entries of 64 KiB takes 3.2 s on it. */
+const linkBytesPerSecond = 10 * 1024 * 1024;
+
+function createSlowCalls(calls: PeerCalls, timers: Timers): PeerCalls {
+    return {
+        ...calls,
+        async append(to, request, signal) {
+            await sleep(timers, JSON.stringify(request).length / linkBytesPerSecond * 1_000);
+            return calls.append(to, request, signal);
+        },
+    };
+}
+
+test("a follower that missed many large entries catches up on a slow link, which no single message fills for long", async t => {
+    const group = await createLogGroup(23, 3, { snapshotEveryEntries: 100_000, valuesInState: 2, wrapCalls: createSlowCalls });
+    const leader = await group.waitForLeader();
+    const follower = group.members.findIndex(member => member !== leader);
+    group.crash(follower);
+    await proposeLargeValues(group, 60, "missed");
+    await group.start(follower);
+    await group.simulation.advance(3_000);
+    const { voterId } = group.members[follower]!.member;
+    const matchIndex = leader.replica!.listPeers().find(peer => peer.voterId === voterId)!.matchIndex;
+    t.equal(matchIndex, leader.store!.lastIndex);
+});
 
 test("an append without an answer is cancelled when it is given up, so that its entries are not kept for it", async t => {
     let unanswered = 0;
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -88,12 +88,18 @@
     group.crash(crashedFollower);
     for (let round = 0; round < 60; round++) {
         await group.simulation.runUntil(
-            Promise.all(Array.from({ length: 30 }, (_, number) => group.propose(group.members.indexOf(leader), `r${round}.${number}`))),
+            Promise.all(
+                Array.from(
+                    { length: 30 },
+                    (_, number) => group.propose(group.members.indexOf(leader), `r${round}.${number}`.padEnd(2_048, ".")),
+                ),
+            ),
         );
     }
     await group.start(crashedFollower);
     await group.simulation.advance(5_000);
     t.equal(countApplied(group, crashedFollower, "r"), 1_800);
+    t.match(group.simulation.logLines.join("\n"), "Installed a snapshot from the leader.");
 });
 
 test("acknowledged entries survive a crash during an append", async t => {
