--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -339,6 +339,7 @@
     async function readSegments(): Promise<void> {
         const segmentNames = (await disk.list(folder)).filter(name => name.startsWith(segmentPrefix));
         for (const [position, file] of segmentNames.entries()) {
+            if (segments.length > 0 && getFirstIndex(file) !== getNextIndex(segments.at(-1)!)) await removeSegmentsBeforeGap(file);
             const data = Buffer.from(checkDefined(await disk.read(`${folder}/${file}`), "a listed segment must be readable"));
             await readSegment(file, data, position === segmentNames.length - 1);
         }
@@ -346,12 +347,25 @@
         if (entries.length > 0 && entries[0]!.entry.index > snapshotIndex + 1) {
             throw new UnusableStoreError(`${folder} lacks log entries after snapshot index ${snapshotIndex}`);
         }
-        // The process may have crashed after a snapshot from the leader was saved, before the segments it replaces were removed.
-        if (entries.length > 0 && entries.at(-1)!.entry.index < snapshotIndex) entries = [];
+        if (segments.length > 0 && !isContinuationOfSnapshot()) await removeAllSegments();
+    }
+
+    // After a loss of power, a removed segment can be there again although a later one is gone.
+    async function removeSegmentsBeforeGap(nextFile: string): Promise<void> {
+        if (getFirstIndex(nextFile) > (snapshot?.index ?? 0) + 1) {
+            throw new UnusableStoreError(`${folder} lacks log entries before ${nextFile}; replace this voter`);
+        }
+        await removeAllSegments();
+    }
+
+    // False if the process ended after a snapshot from the leader was saved, before the segments that it replaces were removed.
+    function isContinuationOfSnapshot(): boolean {
+        if (snapshot === undefined || segments[0]!.firstIndex === snapshot.index + 1) return true;
+        return getEntry(snapshot.index)?.term === snapshot.term;
     }
 
     async function readSegment(file: string, data: Buffer, isLast: boolean): Promise<void> {
-        const firstIndex = Number(file.slice(segmentPrefix.length));
+        const firstIndex = getFirstIndex(file);
         const segment: Segment = { file, firstIndex, offsets: [], sizeBytes: 0 };
         while (segment.sizeBytes < data.length) {
             const record = tryDecodeRecord(data, segment.sizeBytes);
@@ -414,6 +428,14 @@
     await disk.syncFolder(folder);
 }
 
+function getFirstIndex(segmentName: string): number {
+    return Number(segmentName.slice(segmentPrefix.length));
+}
+
+function getNextIndex(segment: Segment): number {
+    return segment.firstIndex + segment.offsets.length;
+}
+
 function getSegmentName(firstIndex: number): string {
     return segmentPrefix + String(firstIndex).padStart(16, "0");
 }
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -1,6 +1,11 @@
 /** The replicated log under crashes, network partitions, disk faults and membership changes. */
 import { test } from "tap";
-import { UnusableStoreError } from "../src/control/log/store.js";
+import { formatStore, openStore, UnusableStoreError } from "../src/control/log/store.js";
+import type { LogStore } from "../src/control/log/store.js";
+import type { LogEntry, Snapshot } from "../src/control/log/types.js";
+import { checkDefined } from "../src/kernel/debug.js";
+import { createSimulation } from "../src/standins/fakeHost.js";
+import type { FakeVm } from "../src/standins/fakeHost.js";
 import { createLogGroup } from "./logGroup.js";
 import type { LogGroup } from "./logGroup.js";
 
@@ -113,6 +118,58 @@
     t.equal(countApplied(group, 0, "a"), 10);
 });
 
+interface StoreStep {
+    readonly store: LogStore;
+    readonly vm: FakeVm;
+}
+
+/** Runs a step on a store of 60 entries in several segments, restarts the process, opens the store again and appends to it. */
+async function reopenAfter(step: (step: StoreStep) => Promise<void>): Promise<LogStore> {
+    const vm = createSimulation(31).createVm("10.0.0.1");
+    await formatStore(vm.host.disk, "/data", { groupId: "group", voterId: "v1", founders: { voters: [], learners: [] } });
+    const store = await openStore(vm.host, "/data", "group", "v1");
+    for (let index = 1; index <= 60; index++) await store.append([createLargeEntry(index)]);
+    await step({ store, vm });
+    const reopened = await openStore(vm.restart(), "/data", "group", "v1");
+    await reopened.append([createLargeEntry(reopened.lastIndex + 1)]);
+    return openStore(vm.restart(), "/data", "group", "v1");
+}
+
+function createLargeEntry(index: number): LogEntry {
+    const input = "".padEnd(32 * 1024, ".");
+    return { kind: "command", index, term: 1, controlTimeMs: 0, wallMs: 0, operationId: String(index), command: "value", input };
+}
+
+function createSnapshot(index: number, term: number): Snapshot {
+    return { index, term, controlTimeMs: 0, membership: { voters: [], learners: [] }, state: "state" };
+}
+
+test("a segment that is there again after a loss of power, before a removed one, does not shift the entries after it", async t => {
+    const store = await reopenAfter(async ({ store, vm }) => {
+        const segments = vm.disk.listFiles().filter(file => file.includes("segment"));
+        t.ok(segments.length > 3);
+        const first = checkDefined(await vm.host.disk.read(segments[0]!), "the first segment is there");
+        await store.saveSnapshot(createSnapshot(50, 1), 0);
+        await vm.host.disk.write(segments[0]!, first);
+    });
+    t.equal(store.lastIndex, 61);
+    t.equal(store.getEntry(55)?.index, 55);
+    t.ok(store.firstIndex > 1);
+});
+
+test("a process that ends between a snapshot from the leader and the removal of the segments before it opens its store again", async t => {
+    for (const [index, term] of [[80, 2], [60, 2], [40, 2]] as const) {
+        const store = await reopenAfter(async ({ store, vm }) => {
+            const removed = vm.disk.listFiles().filter(file => file.includes("segment"));
+            const contents = await Promise.all(removed.map(file => vm.host.disk.read(file)));
+            await store.installSnapshot(createSnapshot(index, term));
+            for (const [position, file] of removed.entries()) await vm.host.disk.write(file, contents[position]!);
+        });
+        t.equal(store.firstIndex, index + 1, "the entries that conflict with the snapshot are gone");
+        t.equal(store.lastIndex, index + 1);
+    }
+});
+
 test("a store with a flipped bit before the last record cannot be opened", async t => {
     const group = await createLogGroup(6, 1);
     await proposeMany(group, 10, "a");
