--- a/src/control/plugins/audit.ts
+++ b/src/control/plugins/audit.ts
@@ -22,14 +22,18 @@
     readonly write: AuditWriter;
 }
 
-const maxRecords = 100_000;
+/** The trail is part of every snapshot, so the oldest records are dropped. */
+const maxTrailBytes = 1024 * 1024;
+/** Records are removed in batches, because each removal copies the list. */
+const removedShare = 0.1;
 
 /** Creates the audit trail. */
 export function createAuditTrail(): AuditTrail {
     let records: AuditRecord[] = [];
+    let trailBytes = 0;
     return {
         write(context, event) {
-            records.push({
+            const record: AuditRecord = {
                 index: context.index,
                 wallMs: context.wallMs,
                 controlTimeMs: context.nowMs,
@@ -39,8 +43,10 @@
                 outcome: event.outcome,
                 digest: getDigest(event.content),
                 detail: event.detail,
-            });
-            if (records.length > maxRecords * 1.1) records = records.slice(-maxRecords);
+            };
+            records.push(record);
+            trailBytes += getRecordBytes(record);
+            if (trailBytes > maxTrailBytes) setRecords(records.slice(Math.ceil(records.length * removedShare)));
         },
         plugin: {
             name: "audit",
@@ -50,10 +56,20 @@
             sections: [{
                 name: "audit",
                 save: () => records,
-                load: data => {
-                    records = [...data as AuditRecord[] ?? []];
-                },
+                load: data => setRecords([...data as AuditRecord[] ?? []]),
             }],
         },
     };
+
+    function setRecords(newRecords: AuditRecord[]): void {
+        records = newRecords;
+        trailBytes = newRecords.reduce((total, record) => total + getRecordBytes(record), 0);
+    }
+}
+
+function getRecordBytes(record: AuditRecord): number {
+    return recordOverheadBytes + record.detail.length + record.operationId.length + record.actor.length;
 }
+
+/** The fields of fixed size: names, times, action, outcome and digest. */
+const recordOverheadBytes = 200;
--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -31,7 +31,8 @@
     readonly outcome: ChangeOutcome;
 }
 
-const maxAppliedChanges = 50_000;
+/** A change is sent again within minutes. The list is part of every snapshot. */
+const maxAppliedChanges = 2_000;
 
 /** Creates the configuration plug-in. */
 export function createConfiguration(options: ConfigurationOptions): Configuration {
--- a/test/boundedHistory.test.ts
+++ b/test/boundedHistory.test.ts
@@ -1,8 +1,12 @@
 /** What a control VM keeps, sends and reads is bounded by its state, however long its history is. */
 import { test } from "tap";
 import { prepareMember } from "../src/control/group.js";
+import { encodeRecord } from "../src/control/log/records.js";
 import type { PeerCalls } from "../src/control/log/replicaTypes.js";
+import { createControlState } from "../src/control/plugins/index.js";
+import { createStateMachine } from "../src/control/stateMachine.js";
 import type { Disk, Timers } from "../src/kernel/host.js";
+import { createRegistry } from "../src/kernel/registry.js";
 import { sleep } from "../src/kernel/tasks.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import { createLogGroup } from "./logGroup.js";
@@ -117,3 +121,22 @@
     t.equal(reopened.store.lastIndex, 1);
     t.equal(reads.filter(file => file.includes("segment")).length, 1);
 });
+
+test("the state that a snapshot holds is no larger after 20,000 changes of configuration than after 5,000", t => {
+    const registry = createRegistry();
+    createControlState(plugin => registry.register(plugin), registry);
+    const stateMachine = createStateMachine(registry);
+    const applyChanges = (from: number, to: number) => {
+        for (let index = from; index <= to; index++) {
+            const input = { baseVersion: index - 1, changeId: `change-${index}`, objects: [], actor: "operator" };
+            const context = { index, term: 1, nowMs: index, wallMs: index, operationId: `operation-${index}` };
+            const entry = { kind: "command", command: "configuration.apply", input, controlTimeMs: index, ...context } as const;
+            stateMachine.apply(entry, context);
+        }
+        return encodeRecord(stateMachine.save()).length;
+    };
+    const bytesAfterFew = applyChanges(1, 5_000);
+    const bytesAfterMany = applyChanges(5_001, 20_000);
+    t.ok(bytesAfterMany <= 1.1 * bytesAfterFew, `${bytesAfterMany} bytes after 20,000 changes, ${bytesAfterFew} after 5,000`);
+    t.end();
+});
