--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,12 +4,14 @@
 import { fileURLToPath } from "node:url";
 import { replaceCapacityTables } from "./capacityPage.js";
 import { measureDecisions } from "./decisionBench.js";
+import { measureHistory } from "./historyBench.js";
 import { measureLog } from "./logBench.js";
 import { measureOverhead } from "./overheadBench.js";
 import { measureSlopes } from "./slopes.js";
 
 const benchmarks = {
     decisions: measureDecisions,
+    history: () => measureHistory(),
     log: measureLog,
     overhead: measureOverhead,
     slopes: measureSlopes,
@@ -20,7 +22,7 @@
 class BenchCommand extends Command {
     static override paths = [Command.Default];
     static override usage = Command.Usage({
-        description: "Runs the named benchmarks: decisions, log, overhead, slopes. Runs all of them when no name is given.",
+        description: "Runs the named benchmarks: decisions, history, log, overhead, slopes. Runs all of them when no name is given.",
         examples: [["Measure the slopes and write the capacity tables", "npm run bench -- slopes --write"]],
     });
 
