Check a backend server's record once, by one schema, and each record of a list by itself

On a heartbeat with port 99999, address 999.0.0.1, 1e17 slots or a service of 300 characters was decoded. The first two made a request fail with TypeError (so 'may have run') and canConnect throw in a promise that nobody handles, which ended the entry; the others were refused by the schema of the messages between control VMs, with all records in the same message, which was sent again for ever: no control VM heard any more from that one. Cause: two schemas for one thing, and a list that one bad item spoils. Remains: a sequence number that is high but possible under a known id still silences that server; nothing tells such a writer from the server.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -5,7 +5,7 @@
  */
 import type { DirectoryGossip, DirectoryReply, DirectoryRequest } from "../kernel/contracts.js";
 import type { ControlRouter } from "../kernel/contracts.js";
-import { createDirectoryTable } from "../kernel/directory.js";
+import { checkBackendServerRecord, createDirectoryTable } from "../kernel/directory.js";
 import type { BackendServerRecord } from "../kernel/directory.js";
 import type { Host } from "../kernel/host.js";
 import { createRpcClients } from "../kernel/rpc.js";
@@ -44,6 +44,8 @@
     readonly pushRequested: Notifier;
     /** Incarnation that answered last, or "" before the first answer. A new incarnation starts with an empty directory. */
     incarnation: string;
+    /** True while messages to it fail. */
+    isFailing: boolean;
 }
 
 const maintenanceIntervalMs = 500;
@@ -84,8 +86,12 @@
         get: table.get,
         spread(message) {
             let hasChanged = false;
-            for (const record of message.servers) {
-                if (table.merge(record, host.clock.nowMs()) === "changed") hasChanged = true;
+            for (const item of message.servers) {
+                const check = checkBackendServerRecord(item);
+                if (check.kind === "invalid") {
+                    log.warn("A backend server record of another control VM is invalid.", { problem: check.problem });
+                }
+                else if (table.merge(check.record, host.clock.nowMs()) === "changed") hasChanged = true;
             }
             if (hasChanged) tableChanged.notify();
             watchers.addRemote(message.watchers, host.clock.nowMs());
@@ -165,7 +171,13 @@
         }
         for (const address of currentAddresses) {
             if (peers.has(address)) continue;
-            const peer: Peer = { address, pending: new Map(), pushRequested: createNotifier(host.timers), incarnation: "" };
+            const peer: Peer = {
+                address,
+                pending: new Map(),
+                pushRequested: createNotifier(host.timers),
+                incarnation: "",
+                isFailing: false,
+            };
             peers.set(address, peer);
             void pushTask(peer);
         }
@@ -182,10 +194,15 @@
                     pushTimeoutMs,
                     "spread",
                 );
+                peer.isFailing = false;
                 handleConfirmation(peer, sentRecords, reply.incarnation);
             }
-            catch {
-                // The records stay pending and are sent again after the delay. Push failures are not logged.
+            catch (error) {
+                // The records stay pending and are sent again after the delay.
+                if (!peer.isFailing) {
+                    log.warn("Sending records to another control VM failed.", { address: peer.address, detail: getErrorText(error) });
+                }
+                peer.isFailing = true;
                 await sleep(host.timers, pushRetryDelayMs, stopping.signal);
                 continue;
             }
--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -12,6 +12,7 @@
 import type { BackendConnections, Host } from "../../kernel/host.js";
 import { crashReportLimits } from "../../kernel/messages.js";
 import type { Suspicion } from "../../kernel/messages.js";
+import { getErrorText } from "../../kernel/tasks.js";
 import type { NodeConfiguration } from "../nodeConfiguration.js";
 import { createCrashReporter, getCrashId } from "./crashReporter.js";
 import type { Crash } from "./crashReporter.js";
@@ -116,7 +117,7 @@
             recordBreak: (server, events) => void breaks.push(confirmCrash(call, server, events)),
             end(end) {
                 if (end !== "failed") clearRequest(call.fingerprint);
-                else if (breaks.length > 0) void recordCrashes(breaks);
+                else if (breaks.length > 0) recordCrashes(breaks).catch(logRecordFailure);
                 if (end === "succeeded") clearParts(listSharedParts(call));
             },
         };
@@ -152,6 +153,10 @@
         reporter.add(crashes);
     }
 
+    function logRecordFailure(error: unknown): void {
+        log.error("Crashes of backend servers could not be recorded.", { detail: getErrorText(error) });
+    }
+
     function addOwnCrash(fingerprint: string, crash: CountedCrash): void {
         const crashes = [...ownSuspects.get(fingerprint)?.crashes ?? [], crash].slice(-maxOwnCrashes);
         setOwnSuspect(fingerprint, { crashes, isConfirmed: false, expiresAtMs: host.clock.nowMs() + ownQuarantineMs });
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -5,6 +5,7 @@
 import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import VError from "verror";
+import { isAddress } from "./address.js";
 import type { BackendConnectionOptions, BackendConnections, IncomingResponse, OutgoingRequest } from "./host.js";
 import { NotSentError } from "./host.js";
 import type { Address } from "./types.js";
@@ -33,6 +34,7 @@
     const byAddress = new Map<Address, Connection[]>();
     return {
         async request(address, request) {
+            if (!isAddress(address)) throw new NotSentError(`${address} is not an IP address with a port`);
             const connection = acquireConnection(address);
             const release = createRelease(address, connection);
             // When the caller stops reading the response, only the abort signal releases the connection.
@@ -52,7 +54,7 @@
                 throw toNetworkError(error, address);
             }
         },
-        canConnect: address => canConnect(address, options.connectTimeoutMs),
+        canConnect: async address => isAddress(address) && await canConnect(address, options.connectTimeoutMs),
         close() {
             for (const connection of [...byAddress.values()].flat()) void connection.client.destroy();
             byAddress.clear();
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -3,7 +3,6 @@
  * Each process implements its interface, and its clients are typed by the router.
  */
 import { z } from "zod";
-import { backendServerRecordSchema } from "./directory.js";
 import type { BackendServerRecord } from "./directory.js";
 import { commandSchemas, loadReportSchema, querySchemas } from "./messages.js";
 import type {
@@ -93,7 +92,8 @@
 
 /** Backend server records and watching entries that one control VM gossips to another. */
 export const directoryGossipSchema = z.object({
-    servers: z.array(backendServerRecordSchema).max(100_000),
+    /** Records, each of which the receiver checks by itself. */
+    servers: z.array(z.unknown()).max(100_000),
     watchers: z.array(boundedString).max(10_000),
 });
 /** Backend server records and watching entries that one control VM gossips to another. */
--- a/src/kernel/directory.ts
+++ b/src/kernel/directory.ts
@@ -3,31 +3,50 @@
  * and each entry keeps a copy. Records may arrive repeatedly and in any order, and all copies converge to the same state.
  */
 import { z } from "zod";
+import { isAddress } from "./address.js";
 
-const boundedString = z.string().min(1).max(200);
+const maxTextLength = 200;
+const boundedString = z.string().min(1).max(maxTextLength);
+const boundedText = z.string().max(maxTextLength);
+/** More requests at once than any backend server can run. */
+const maxSlots = 1_000_000;
 
-/** State of one backend server, as of its latest heartbeat. */
-export const backendServerRecordSchema = z.object({
+/** Schema of a record. It is the only one, so that what one process accepts, all others accept from it. */
+const backendServerRecordSchema = z.object({
     backendServer: boundedString,
     pool: boundedString,
+    /** Address at which it takes requests. May be anything once it is gone. */
     address: boundedString,
-    failureDomain: z.string(),
-    softwareVersion: z.string(),
+    failureDomain: boundedText,
+    softwareVersion: boundedText,
     /** Maximum number of concurrent requests. */
-    maxRunning: z.number().int().nonnegative(),
+    maxRunning: z.int().nonnegative().max(maxSlots),
     state: z.enum(["ready", "draining", "gone"]),
     /** Remaining time during which it is slow because it was started recently. */
     coldLeftMs: z.number().nonnegative(),
     /** Wall clock time, by its own clock, at which it was started. Distinguishes its incarnations. */
-    bornMs: z.number(),
+    bornMs: z.int(),
     /** Sequence number of the heartbeat within the incarnation. */
-    sequence: z.number(),
+    sequence: z.int().nonnegative(),
     /** True if no heartbeat has arrived for some time although it has not announced that it is leaving. */
     isSilent: z.boolean(),
-}).readonly();
+}).refine(record => record.state === "gone" || isAddress(record.address), { error: "is no IP address with a port", path: ["address"] })
+    .readonly();
 /** State of one backend server, as of its latest heartbeat. */
 export type BackendServerRecord = z.infer<typeof backendServerRecordSchema>;
 
+/** A decoded record, or what is wrong with it. */
+export type RecordCheck =
+    | { readonly kind: "valid"; readonly record: BackendServerRecord; }
+    | { readonly kind: "invalid"; readonly problem: string; };
+
+/** Checks a record that comes from a backend server or from another process. */
+export function checkBackendServerRecord(item: unknown): RecordCheck {
+    const parsed = backendServerRecordSchema.safeParse(item);
+    if (parsed.success) return { kind: "valid", record: parsed.data };
+    return { kind: "invalid", problem: parsed.error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`).join("; ") };
+}
+
 /**
  * Effect of merging a record. `refreshed`: a newer heartbeat without a relevant change. `ignored`: the record is outdated, or its
  * address belongs to a newer incarnation.
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -4,16 +4,14 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type { Socket } from "node:net";
-import { isIP } from "node:net";
-import VError from "verror";
 import { createAcceptor } from "./acceptor.js";
 import type { Acceptor } from "./acceptor.js";
+import { parseAddress } from "./address.js";
 import { flattenHeaders } from "./backendConnections.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
 import type { Clock, HttpRequest, HttpResponse, Listener, Logger, ServerOptions } from "./host.js";
 import { acceptRpcUpgrades } from "./rpcUpgrade.js";
 import type { RpcUpgrades } from "./rpcUpgrade.js";
-import type { Address } from "./types.js";
 
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 30_000;
@@ -127,15 +125,6 @@
     return { cert: await fs.readFile(tls.certificateFile), key: await fs.readFile(tls.keyFile) };
 }
 
-/** Splits an address into host and port. Throws if it is not an IP address with a port. */
-export function parseAddress(address: Address): { readonly host: string; readonly port: number; } {
-    const match = /^(.+):(\d{1,5})$/.exec(address);
-    const host = match?.[1]?.replace(/^\[|\]$/g, "") ?? "";
-    const port = Number(match?.[2] ?? NaN);
-    if (isIP(host) === 0 || !(port <= 65_535)) throw new VError("%s is not an IP address with a port", JSON.stringify(address));
-    return { host, port };
-}
-
 async function handle(
     options: ServerOptions,
     incoming: http.IncomingMessage,
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -1,7 +1,7 @@
 /** Parses and validates settings from flags and environment variables. Each error names the flag and the variable. */
 import { readFileSync } from "node:fs";
+import { parseAddress } from "../kernel/address.js";
 import type { LogLevel, TlsFiles } from "../kernel/host.js";
-import { parseAddress } from "../kernel/httpServer.js";
 import { logLevels } from "../kernel/log.js";
 import { getErrorText } from "../kernel/tasks.js";
 
--- a/test/brokenAnswers.test.ts
+++ b/test/brokenAnswers.test.ts
@@ -1,9 +1,9 @@
 /** Answers that the entry breaks off, as callers on real sockets see them. */
 import { connect } from "node:net";
 import { test } from "tap";
+import { parseAddress } from "../src/kernel/address.js";
 import type { ServerOptions } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
-import { parseAddress } from "../src/kernel/httpServer.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 const host = createNodeHost({ fleetSecret: "secret", createLogger: createSilentLogger });
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -7,11 +7,11 @@
 import { createRetryWindow } from "../src/entry/direct/retryWindow.js";
 import { createServerLimits } from "../src/entry/direct/serverLimits.js";
 import type { DirectCall, NamedLimit, ServerLoad } from "../src/entry/direct/types.js";
+import { parseAddress } from "../src/kernel/address.js";
 import { messages } from "../src/kernel/diagnostics.js";
 import type { BackendServerRecord } from "../src/kernel/directory.js";
 import type { HttpRequest } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
-import { parseAddress } from "../src/kernel/httpServer.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 /** A request that has reached a backend server. */
