Do not tell other entries prompt parts whose ids their schema refuses

Evidence: test/loadExchange.test.ts, two entries sent two prompts of 8,000 tokens with such a part to one server before, to two now.

--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -18,7 +18,10 @@
 } from "./messages.js";
 import { rpc } from "./rpc.js";
 
-const boundedString = z.string().min(1).max(200);
+const maxTextLength = 200;
+const boundedString = z.string().min(1).max(maxTextLength);
+/** Callers choose the ids of prompt parts. A longer one is not told to other entries, which would refuse the whole message. */
+export const maxSharedPartIdLength = maxTextLength;
 const commandKinds = Object.keys(commandSchemas) as [CommandKind, ...CommandKind[]];
 const queryKinds = Object.keys(querySchemas) as [QueryKind, ...QueryKind[]];
 
--- a/test/loadExchange.test.ts
+++ b/test/loadExchange.test.ts
@@ -43,6 +43,26 @@
     }
 });
 
+test("a prompt part with a very long id does not keep the load of its request from the other entries", async t => {
+    const fleet = await createDirectFleet(46, { entries: 2 });
+    await fleet.simulation.advance(2_000);
+    const document = "d".repeat(300);
+    const answering = holdAnswers(fleet);
+    const calls = [0, 1].map(async entry => {
+        await fleet.simulation.advance(entry * 50);
+        return fleet.call(entry, {
+            path: "/stream/1",
+            id: `r${entry}`,
+            tokens: "8000,2",
+            headers: createPrompt(document, `r${entry}`),
+        });
+    });
+    await fleet.simulation.advance(200);
+    t.same(fleet.servers.map(server => server.receivedRequests.length), [1, 1]);
+    answering.release();
+    for (const call of calls) t.equal((await fleet.simulation.runUntil(call)).status, 200);
+});
+
 test("a prompt is sent to the server to which another entry has sent its parts", async t => {
     const fleet = await createDirectFleet(42, { entries: 2, servers: 3 });
     const documents = Array.from({ length: 12 }, (_, index) => `d${index}`);
