Give requests that still run at the end of a planned stop an answer

A request that was taken up to 2.4 s after the signal was passed on with its whole time limit; at the end of the grace its connection was cut, also if it may not be repeated. Change: from the start of a stop, requests get at most the time that the process has left, and so do the backend servers. What runs at its end is ended with an answer: 504 (may have run), or a stream that ends visibly incomplete.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -75,10 +75,12 @@
     const abortController = new AbortController();
     const remainingMs = call.deadlineMs - host.clock.nowMs();
     let hasTimedOut = false;
-    const cancelTimer = host.timers.after(Math.max(0, remainingMs), () => {
+    const endInTime = () => {
         hasTimedOut = true;
         abortController.abort();
-    });
+    };
+    const cancelTimer = host.timers.after(Math.max(0, remainingMs), endInTime);
+    call.endSignal.addEventListener("abort", endInTime);
     const onCallerDisconnect = () => abortController.abort();
     call.request.signal.addEventListener("abort", onCallerDisconnect);
     try {
@@ -109,6 +111,7 @@
     }
     finally {
         cancelTimer();
+        call.endSignal.removeEventListener("abort", endInTime);
         call.request.signal.removeEventListener("abort", onCallerDisconnect);
     }
 
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -214,7 +214,7 @@
     }
 
     function hasTimeForAttempt(): boolean {
-        return call.deadlineMs - host.clock.nowMs() >= minAttemptMs;
+        return !call.endSignal.aborted && call.deadlineMs - host.clock.nowMs() >= minAttemptMs;
     }
 
     function mayRetry(): boolean {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -41,7 +41,7 @@
     readonly protocol: DirectProtocol;
     readonly retryRules: RetryRules;
     readonly leasePacing?: LeasePacing;
-    /** Maximum duration of `Gateway.stop`. */
+    /** Time after the start of a stop at which requests that still run are ended with an answer. */
     readonly stopTimeoutMs: number;
     readonly onServers: (servers: readonly BackendServerRecord[]) => void;
     readonly onVoterAddresses: (addresses: readonly string[]) => void;
@@ -71,6 +71,8 @@
 /** Time after which the platform has stopped sending new connections to a process that is not ready. */
 const readinessDelayMs = 2_400;
 const drainPollMs = 50;
+/** Time for writing the answers of requests that are ended because the process ends. */
+const endedAnswersMs = 150;
 const closeTimeoutMs = 800;
 const defaultTimeoutMs = 60_000;
 /** Maximum time that a request waits for a process that has just started to become ready. */
@@ -135,6 +137,8 @@
     let prepaid: ReadonlyMap<string, number> = new Map();
     let isStopping = false;
     let isRefusing = false;
+    let servesUntilMs = Infinity;
+    const endOfService = createStopController();
     let runningRequests = 0;
 
     return {
@@ -156,19 +160,26 @@
         },
         async stop() {
             isStopping = true;
-            const startedAtMs = host.clock.nowMs();
+            servesUntilMs = host.clock.nowMs() + options.stopTimeoutMs;
             log.info("The gateway is stopping.", { running: runningRequests });
             await sleep(host.timers, readinessDelayMs);
             // A request accepted after this point might not finish before the process exits.
             isRefusing = true;
             options.onRefusing();
-            while (runningRequests > 0 && host.clock.nowMs() - startedAtMs < options.stopTimeoutMs) await sleep(host.timers, drainPollMs);
+            await waitUntilIdle(servesUntilMs);
+            if (runningRequests > 0) log.warn("Requests are ended because the process ends.", { running: runningRequests });
+            endOfService.abort();
+            await waitUntilIdle(host.clock.nowMs() + endedAnswersMs);
             const isClosed = await leases.close(closeTimeoutMs);
             log.info("The gateway has stopped.", { running: runningRequests, isClosed });
             stopController.abort();
         },
     };
 
+    async function waitUntilIdle(untilMs: number): Promise<void> {
+        while (runningRequests > 0 && host.clock.nowMs() < untilMs) await sleep(host.timers, drainPollMs);
+    }
+
     function isSynced(): boolean {
         return configuration.isReady() && servers.hasSynced();
     }
@@ -242,7 +253,8 @@
             fingerprint: getFingerprint({ head, request, account }),
             priority: account?.priority ?? route.priority,
             arrivedAtMs,
-            deadlineMs: arrivedAtMs + timeoutMs,
+            deadlineMs: Math.min(arrivedAtMs + timeoutMs, servesUntilMs),
+            endSignal: endOfService.signal,
         };
     }
 
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -108,6 +108,8 @@
     readonly priority: number;
     readonly arrivedAtMs: number;
     readonly deadlineMs: number;
+    /** Aborted shortly before the process ends, so that the caller still gets an answer. */
+    readonly endSignal: AbortSignal;
 }
 
 /** True when requests of the route may be run more than once. */
