Keep to what backend servers say of further requests: Server-Leaving, and Retry-After of a 503

A 503 with Retry-After keeps this entry's requests from the server for that time. Both hold for the incarnation that said so. If no server may be used, the caller is refused at once as not run, with the time until the first may be; if all are leaving, with the usual one.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -10,7 +10,7 @@
 import { createEventFramer } from "./eventFramer.js";
 import type { DispatchOutcome } from "./loadTracker.js";
 import { isStream } from "./types.js";
-import type { DirectCall, DirectProtocol, DispatchMetadata, Headers, NamedLimit, ReplyHead, ServerLoad } from "./types.js";
+import type { DirectCall, DirectProtocol, DispatchMetadata, Headers, ReplyHead, ServerLoad } from "./types.js";
 
 /** A complete answer whose body was buffered. */
 export interface BufferedAnswer {
@@ -57,8 +57,8 @@
     readonly log: Logger;
     readonly enginePriority?: number;
     readonly onLoad: (load: ServerLoad) => void;
-    /** Called with what each answer of this server says about the rate of requests that it takes. */
-    readonly onLimit: (limit: NamedLimit) => void;
+    /** Called with the head of each answer of this server, before its outcome is known. */
+    readonly onReplyHead: (head: ReplyHead) => void;
     /** Called when a valid answer has started. */
     readonly onStarted: () => void;
 }
@@ -123,7 +123,7 @@
             return createFailure("mayHaveRun", "outcomeUnknown", "unknown", doubt);
         }
         if (head.load !== undefined) options.onLoad(head.load);
-        if (!head.isMisdirected && head.requestId !== undefined) options.onLimit(head.limit);
+        if (!head.isMisdirected && head.requestId !== undefined) options.onReplyHead(head);
         if (head.isMisdirected || head.isNotRun) {
             if (head.requestId === undefined) abortController.abort();
             else await discardRefusal(reply);
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -15,9 +15,10 @@
 import type { Placement } from "./placement.js";
 import type { RetryWindow } from "./retryWindow.js";
 import type { ServerLimits } from "./serverLimits.js";
+import type { ServerNotices } from "./serverNotices.js";
 import type { ServerView } from "./serverView.js";
 import { isRepeatable } from "./types.js";
-import type { DirectCall, DirectProtocol, Headers, NamedLimit } from "./types.js";
+import type { DirectCall, DirectProtocol, Headers, NamedLimit, ReplyHead } from "./types.js";
 
 /** Options of a delivery. */
 export interface DeliveryOptions {
@@ -26,6 +27,7 @@
     readonly servers: ServerView;
     readonly loads: LoadTracker;
     readonly serverLimits: ServerLimits;
+    readonly serverNotices: ServerNotices;
     readonly loadExchange: Pick<LoadExchange, "recordDispatch" | "recordLimitChange">;
     readonly retryWindow: RetryWindow;
     readonly crashGuard: CrashGuard;
@@ -137,19 +139,32 @@
     function choosePlacementForCall(): Placement | undefined {
         const nowMs = host.clock.nowMs();
         const untried = options.servers.listPool(call.pool).filter(server => !progress.triedServers.has(server.backendServer));
-        const waitsMs = untried.map(server => options.serverLimits.getWaitMs(server.backendServer, nowMs));
-        if (untried.length > 0 && waitsMs.every(waitMs => waitMs > 0) && progress.dispatches === 0) {
-            // A caller that returns may reach another entry, which may be allowed to send earlier than this one.
-            const fleetWaitMs = options.serverLimits.getFleetWaitMs(untried.map(server => server.backendServer), nowMs);
-            progress.verdict = createVerdict("notRun", "serversLimited", undefined, fleetWaitMs + getRetryAfterMs());
+        const open = untried.filter(server => getWaitMs(server, nowMs) === 0);
+        if (untried.length > 0 && open.length === 0 && progress.dispatches === 0) {
+            const fleetWaitMs = getFleetWaitMs(untried, nowMs);
+            if (fleetWaitMs < Infinity) {
+                progress.verdict = createVerdict("notRun", "serversLimited", undefined, fleetWaitMs + getRetryAfterMs());
+            }
         }
-        const candidates = untried
-            .filter((_, index) => waitsMs[index] === 0)
+        const staying = open.filter(server => !options.serverNotices.isLeaving(server));
+        const candidates = (staying.length > 0 ? staying : open)
             .map(server => ({ server, tracked: options.loads.get(server.backendServer) }));
         const request = { promptTokens: call.head.generation?.promptTokens ?? 0, promptParts: call.head.promptParts };
         return choosePlacement(request, candidates, nowMs, host.random.nextFloat());
     }
 
+    function getWaitMs(server: BackendServerRecord, nowMs: number): number {
+        return Math.max(options.serverLimits.getWaitMs(server.backendServer, nowMs), options.serverNotices.getWaitMs(server, nowMs));
+    }
+
+    // A caller that returns may reach another entry, which may be allowed to send earlier than this one. A pause is meant for this entry
+    // only, but a server that asked one entry for it has no room for the others either.
+    function getFleetWaitMs(servers: readonly BackendServerRecord[], nowMs: number): number {
+        const pausesMs = servers.map(server => options.serverNotices.getWaitMs(server, nowMs));
+        const limited = servers.filter((_, index) => pausesMs[index] === 0).map(server => server.backendServer);
+        return limited.length > 0 ? options.serverLimits.getFleetWaitMs(limited, nowMs) : Math.min(...pausesMs);
+    }
+
     async function makeAttempt(placement: Placement): Promise<AttemptOutcome> {
         const { server } = placement;
         const nowMs = host.clock.nowMs();
@@ -168,7 +183,10 @@
             log: options.log,
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.recordLoad(server.backendServer, load, host.clock.nowMs()),
-            onLimit: limit => recordLimit(server, limit, nowMs),
+            onReplyHead(head) {
+                recordLimit(server, head.limit, nowMs);
+                recordNotices(server, head);
+            },
             onStarted: () => {
                 options.loads.recordResponseStart(server.backendServer, dispatch, host.clock.nowMs());
                 progress.answeredAtMs ??= host.clock.nowMs();
@@ -198,6 +216,17 @@
         options.log.info("A backend server changed its request limit.", { backendServer, pool, change, perSecond });
     }
 
+    function recordNotices(server: BackendServerRecord, head: ReplyHead): void {
+        const { backendServer, pool } = server;
+        const nowMs = host.clock.nowMs();
+        if (head.isLeaving && options.serverNotices.recordLeaving(server, nowMs)) {
+            options.log.info("A backend server says in an answer that it leaves.", { backendServer, pool, requestId: call.head.requestId });
+        }
+        if (head.pauseMs === undefined) return;
+        options.serverNotices.recordPause(server, head.pauseMs, nowMs);
+        options.log.info("A backend server wants no requests for a time.", { backendServer, pool, pauseMs: head.pauseMs });
+    }
+
     function logFailure(placement: Placement, verdict: Verdict): void {
         options.log.info("An attempt failed.", {
             requestId: call.head.requestId,
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -30,6 +30,7 @@
 import { choosePool, createRouteTable } from "./routeTable.js";
 import type { RouteTable } from "./routeTable.js";
 import { createServerLimits } from "./serverLimits.js";
+import { createServerNotices } from "./serverNotices.js";
 import { createServerView } from "./serverView.js";
 import type { DirectCall, DirectProtocol, RequestHead } from "./types.js";
 
@@ -90,6 +91,7 @@
     const statistics = createEntryStatistics();
     const retryWindow = createRetryWindow(options.retryRules);
     const serverLimits = createServerLimits(host.random.nextFloat);
+    const serverNotices = createServerNotices();
     const loadExchange = createLoadExchange(host, {
         incarnation: identity.incarnation,
         loads,
@@ -102,7 +104,9 @@
         onChange(all) {
             stateChanged.notify();
             loads.retainServers(all);
-            serverLimits.retainServers(new Set(all.map(server => server.backendServer)));
+            const names = new Set(all.map(server => server.backendServer));
+            serverLimits.retainServers(names);
+            serverNotices.retainServers(names);
             options.onServers(all);
         },
         onWatchers(watchers, position) {
@@ -278,6 +282,7 @@
                 servers,
                 loads,
                 serverLimits,
+                serverNotices,
                 loadExchange,
                 retryWindow,
                 crashGuard,
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -82,6 +82,10 @@
     readonly isEncoded: boolean;
     readonly load?: ServerLoad;
     readonly limit: NamedLimit;
+    /** True when the backend server is about to leave. */
+    readonly isLeaving: boolean;
+    /** Time for which the backend server, which has answered 503, wants no more from this entry. */
+    readonly pauseMs?: number;
     /** Headers that are returned to the caller unchanged. */
     readonly passthroughHeaders: Headers;
 }
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -34,7 +34,7 @@
         sink: { hasStarted: false, contentType: undefined, lastEventId: undefined, start: () => undefined, write: () => Promise.resolve() },
         log: createSilentLogger(),
         onLoad: () => undefined,
-        onLimit: () => undefined,
+        onReplyHead: () => undefined,
         onStarted: () => undefined,
     });
     const tookMs = host.clock.nowMs() - startedAtMs;
@@ -80,6 +80,7 @@
         priority: 0,
         arrivedAtMs: nowMs,
         deadlineMs: nowMs + deadlineMs,
+        endSignal: new AbortController().signal,
     } as unknown as DirectCall;
 }
 
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -6,6 +6,7 @@
 import { createLoadTracker } from "../src/entry/direct/loadTracker.js";
 import { createRetryWindow } from "../src/entry/direct/retryWindow.js";
 import { createServerLimits } from "../src/entry/direct/serverLimits.js";
+import { createServerNotices } from "../src/entry/direct/serverNotices.js";
 import type { DirectCall, NamedLimit, ServerLoad } from "../src/entry/direct/types.js";
 import { parseAddress } from "../src/kernel/address.js";
 import { messages } from "../src/kernel/diagnostics.js";
@@ -83,6 +84,7 @@
                             tracker.recordLoad(backendServer, load, nowMs);
                         },
                     },
+                    serverNotices: createServerNotices(),
                     serverLimits: {
                         ...limits,
                         recordAnswer(backendServer, limit, sentAtMs, nowMs) {
@@ -164,6 +166,7 @@
             priority: 0,
             arrivedAtMs: nowMs,
             deadlineMs: nowMs + timeoutMs,
+            endSignal: new AbortController().signal,
         } as unknown as DirectCall;
     }
 }
