Go on with a stream only at the software version that began it

Cause: an entry chose any server of the pool, for a stream that it resumed itself and for one that a caller took up; Resumes was not read, and nothing knew which version had begun a stream once its entry was gone. Change: an entry remembers where each resumable stream began. Unless one version only has served for longer than streams are taken up (timeout of the routes + 5 s), it also tells all control VMs, in batches of 8 ms, and holds the first event until a majority has answered (100 ms at most; it is told as the request is dispatched, so the answer is mostly there first). Control VMs keep this for 60 s in memory. An entry that does not know a stream asks them; a stream that a majority knows nothing of began before the second version was there. Where the version is not known, or has no server left, the request is refused at once as not run, with a code each. Ruled out: a record in the replicated log (a sync for each stream, history without end), agents as witnesses (they do not know each other, and leave with their servers), what the answer's head carries (callers give back the request id and the event id only).

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -32,6 +32,7 @@
 import type { ControlState } from "./plugins/index.js";
 import { createStateMachine } from "./stateMachine.js";
 import type { ApplyOutcome } from "./stateMachine.js";
+import { createStreamOriginTable } from "./streamOrigins.js";
 import { createLeaderTasks } from "./tasks.js";
 
 /** Options of a control VM. */
@@ -107,6 +108,7 @@
         countVoters: () => getVoters(replica.getStatus().membership).length,
         isConnected: () => replica.getStatus().isConnected,
     });
+    const streamOrigins = createStreamOriginTable(directory.versions);
     const group = createMembershipManager(host, { replica, self: options.self, ...options.group });
     replica.start();
     tasks.start();
@@ -123,6 +125,11 @@
         ping: () => ({ isConnected: replica.getStatus().isConnected }),
         watchDirectory: directory.watch,
         spread: directory.spread,
+        recordOrigins(message) {
+            streamOrigins.record(message.origins, host.clock.nowMs());
+            return true;
+        },
+        findOrigin: request => streamOrigins.find(request, host.clock.nowMs()),
         join: group.join,
     };
     return {
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -12,6 +12,8 @@
 import { callWithTimeout, createNotifier, createStopController, getErrorText, runPeriodically, sleep, waitUntil } from "../kernel/tasks.js";
 import type { Notifier } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
+import { createVersionHistory } from "../kernel/versionHistory.js";
+import type { VersionHistory } from "../kernel/versionHistory.js";
 import { createWatcherList } from "./watcherList.js";
 
 /** The part of the control group's state that the directory reads. */
@@ -29,6 +31,7 @@
     /** Merges a heartbeat into the directory. Returns true if the heartbeat may be acknowledged. */
     recordHeartbeat(record: BackendServerRecord): Promise<boolean>;
     get(backendServer: string): BackendServerRecord | undefined;
+    readonly versions: VersionHistory;
     /** Merges the records and watchers that another control VM pushed. */
     spread(message: DirectoryGossip): { readonly incarnation: string; };
     /** Waits until a record has changed since the requested revision or the timeout passes, then returns the changed records. */
@@ -70,8 +73,10 @@
     const stopping = createStopController();
     const peers = new Map<Address, Peer>();
     const watchers = createWatcherList();
+    const versions = createVersionHistory();
 
     return {
+        versions,
         async recordHeartbeat(record) {
             const previous = table.get(record.backendServer);
             const outcome = table.merge(record, host.clock.nowMs());
@@ -163,6 +168,7 @@
         const revisionBefore = table.revision;
         table.expire(nowMs - heartbeatTimeoutMs, nowMs - goneRecordRetentionMs);
         if (table.revision !== revisionBefore) tableChanged.notify();
+        versions.observe(table.listSince(0), nowMs);
         const currentAddresses = new Set(group.listPeers());
         for (const [address, peer] of peers) {
             if (currentAddresses.has(address)) continue;
--- /dev/null
+++ b/src/control/streamOrigins.ts
@@ -0,0 +1,51 @@
+/**
+ * Where streams began, as told by entries: soft state of one control VM. It outlives the entries, so that a caller whose entry was lost can
+ * take its stream up at servers of the version that began it. An entry tells all control VMs and relies on a majority.
+ */
+import type { OriginReply, OriginRequest, StreamOriginRecord } from "../kernel/contracts.js";
+import type { VersionHistory } from "../kernel/versionHistory.js";
+
+/** Origins known to one control VM. */
+export interface StreamOriginTable {
+    record(origins: readonly StreamOriginRecord[], nowMs: number): void;
+    find(request: OriginRequest, nowMs: number): OriginReply;
+}
+
+interface KnownOrigin extends StreamOriginRecord {
+    readonly recordedAtMs: number;
+}
+
+/** Longer than any caller takes a stream up again. */
+const originRetentionMs = 60_000;
+const maxOrigins = 100_000;
+
+/** Creates an empty table. */
+export function createStreamOriginTable(versions: VersionHistory): StreamOriginTable {
+    /** By request id, in the order of recording. */
+    const origins = new Map<string, KnownOrigin>();
+    return {
+        record(newOrigins, nowMs) {
+            for (const origin of newOrigins) {
+                origins.delete(origin.requestId);
+                origins.set(origin.requestId, { ...origin, recordedAtMs: nowMs });
+            }
+            deleteOld(nowMs);
+        },
+        find({ requestId, pool, windowMs }, nowMs) {
+            deleteOld(nowMs);
+            const origin = requestId === undefined ? undefined : origins.get(requestId);
+            return {
+                origin: origin === undefined ? undefined : { pool: origin.pool, softwareVersion: origin.softwareVersion },
+                isWindowKnown: versions.isKnownSince(nowMs - windowMs),
+                versionBefore: versions.getOnlyVersionAt(pool, nowMs - windowMs),
+            };
+        },
+    };
+
+    function deleteOld(nowMs: number): void {
+        for (const [requestId, { recordedAtMs }] of origins) {
+            if (recordedAtMs >= nowMs - originRetentionMs && origins.size <= maxOrigins) return;
+            origins.delete(requestId);
+        }
+    }
+}
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -17,6 +17,7 @@
 import type { ServerLimits } from "./serverLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 import type { ServerView } from "./serverView.js";
+import type { StreamOrigins } from "./streamOrigins.js";
 import { isRepeatable } from "./types.js";
 import type { DirectCall, DirectProtocol, Headers, NamedLimit, ReplyHead } from "./types.js";
 
@@ -30,6 +31,7 @@
     readonly serverNotices: ServerNotices;
     readonly loadExchange: Pick<LoadExchange, "recordDispatch" | "recordLimitChange">;
     readonly retryWindow: RetryWindow;
+    readonly streamOrigins: Pick<StreamOrigins, "record">;
     readonly crashGuard: CrashGuard;
     readonly log: Logger;
     /** Headers that are added to every answer. */
@@ -67,6 +69,10 @@
     deliveredEvents: number;
     lastEventId: string | undefined;
     streamContentType: string | undefined;
+    /** Software version that the stream goes on with. Undefined until its first event. */
+    softwareVersion: string | undefined;
+    /** Resolves when the first event of a stream may be delivered. */
+    originRecorded: Promise<void> | undefined;
     /** Last complete error answer, which is returned when no later attempt succeeds and no stream has begun. */
     failedAnswer: BufferedAnswer | undefined;
     verdict: Verdict;
@@ -94,6 +100,8 @@
         deliveredEvents: 0,
         lastEventId: undefined,
         streamContentType: undefined,
+        softwareVersion: call.softwareVersion,
+        originRecorded: undefined,
         failedAnswer: undefined,
         verdict: createVerdict("notRun", "noBackendServer", undefined, getRetryAfterMs()),
     };
@@ -138,7 +146,11 @@
 
     function choosePlacementForCall(): Placement | undefined {
         const nowMs = host.clock.nowMs();
-        const untried = options.servers.listPool(call.pool).filter(server => !progress.triedServers.has(server.backendServer));
+        const servers = options.servers.listPool(call.pool).filter(fitsStream);
+        if (servers.length === 0 && progress.softwareVersion !== undefined && progress.dispatches === 0) {
+            progress.verdict = createVerdict("notRun", "streamVersionGone", `Version ${progress.softwareVersion}.`);
+        }
+        const untried = servers.filter(server => !progress.triedServers.has(server.backendServer));
         const open = untried.filter(server => getWaitMs(server, nowMs) === 0);
         if (untried.length > 0 && open.length === 0 && progress.dispatches === 0) {
             const fleetWaitMs = getFleetWaitMs(untried, nowMs);
@@ -153,6 +165,10 @@
         return choosePlacement(request, candidates, nowMs, host.random.nextFloat());
     }
 
+    function fitsStream(server: BackendServerRecord): boolean {
+        return progress.softwareVersion === undefined || server.softwareVersion === progress.softwareVersion;
+    }
+
     function getWaitMs(server: BackendServerRecord, nowMs: number): number {
         return Math.max(options.serverLimits.getWaitMs(server.backendServer, nowMs), options.serverNotices.getWaitMs(server, nowMs));
     }
@@ -172,6 +188,10 @@
         progress.dispatches++;
         progress.placement = placement;
         options.serverLimits.recordDispatch(server.backendServer, nowMs);
+        if (call.route.repeat === "resumableStream" && progress.softwareVersion === undefined) {
+            const { pool, softwareVersion } = server;
+            progress.originRecorded = options.streamOrigins.record(call.head.requestId, { pool, softwareVersion });
+        }
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         options.loadExchange.recordDispatch(server.backendServer, placement.prefillTokens, call.head.promptParts.map(part => part.partId));
         const eventsBefore = progress.deliveredEvents;
@@ -307,6 +327,10 @@
                 response.start(status, { ...headers, ...options.getAnswerHeaders() }, isCloseDelimited);
             },
             async write(data, eventCount, lastEventId) {
+                if (eventCount > 0) {
+                    await progress.originRecorded;
+                    progress.softwareVersion ??= progress.placement?.server.softwareVersion;
+                }
                 progress.deliveredEvents += eventCount;
                 progress.lastEventId = lastEventId;
                 await response.write(data);
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -32,6 +32,8 @@
 import { createServerLimits } from "./serverLimits.js";
 import { createServerNotices } from "./serverNotices.js";
 import { createServerView } from "./serverView.js";
+import { createStreamOrigins } from "./streamOrigins.js";
+import { isResumption } from "./types.js";
 import type { DirectCall, DirectProtocol, RequestHead } from "./types.js";
 
 /** Options of a gateway. */
@@ -78,7 +80,11 @@
 const defaultTimeoutMs = 60_000;
 /** Maximum time that a request waits for a process that has just started to become ready. */
 const startWaitMs = 600;
-const retryAfterMs = { notReady: 500, stopping: 20 } as const;
+const retryAfterMs = { notReady: 500, stopping: 20, originUnknown: 400 } as const;
+
+/** Callers may take a stream up again for the timeout of its route. The margin covers how late an entry learns of a new version. */
+const resumptionMarginMs = 5_000;
+const minResumptionMs = 15_000;
 
 /** Creates a gateway, which becomes ready after `start`. */
 export function createGateway(host: Host, options: GatewayOptions): Gateway {
@@ -109,6 +115,7 @@
             serverNotices.retainServers(names);
             options.onServers(all);
         },
+        onAnswer: records => streamOrigins.observe(records),
         onWatchers(watchers, position) {
             loadExchange.addPeers(watchers);
             retryWindow.updateEntryCount(position.count);
@@ -126,6 +133,7 @@
             falseRefusals: { horizonMs: budgetHorizonMs, maxWaitMs: budgetWaitMs },
         },
     });
+    const streamOrigins = createStreamOrigins(host, control);
     const configuration = createNodeConfiguration(host, {
         identity,
         control,
@@ -158,6 +166,7 @@
             configuration.start(stopController.signal);
             servers.start(stopController.signal);
             loadExchange.start(stopController.signal);
+            streamOrigins.start(stopController.signal);
             capacity.start(stopController.signal);
             leases.start(stopController.signal);
             crashGuard.start(stopController.signal);
@@ -193,6 +202,10 @@
         const objects = configuration.getObjects();
         routes = createRouteTable(objects.list("httpRoute"));
         limits = objects.list("ingressLimits")[0];
+        const resumableTimeoutsMs = objects.list("httpRoute").filter(route => route.repeat === "resumableStream").map(route =>
+            route.timeoutMs
+        );
+        streamOrigins.setWindow(Math.max(minResumptionMs, ...resumableTimeoutsMs.map(timeoutMs => timeoutMs + resumptionMarginMs)));
         const previousPrepaid = prepaid;
         prepaid = new Map(objects.list("budget").map(budget => [budget.name, budget.prepaidTokens ?? 0]));
         logPrepaidChanges(previousPrepaid);
@@ -227,7 +240,7 @@
             if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
             if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
             await waitUntil(host, stateChanged, isSynced, Math.min(startWaitMs, head.timeoutMs ?? startWaitMs));
-            await serve(createCall(head, request, arrivedAtMs), response);
+            await serve(await followOrigin(createCall(head, request, arrivedAtMs)), response);
         }
         catch (error) {
             const verdict = toVerdict(error, "mayHaveRun");
@@ -262,6 +275,15 @@
         };
     }
 
+    // A stream goes on in the pool and at the software version that began it.
+    async function followOrigin(call: DirectCall): Promise<DirectCall> {
+        if (!isResumption(call)) return call;
+        const origin = await streamOrigins.resolve(call.head.resumedRequestId, call.pool);
+        if (origin === undefined) refuse("streamOriginUnknown", undefined, retryAfterMs.originUnknown);
+        const isRouted = call.route.targets.some(target => target.pool === origin.pool);
+        return isRouted ? { ...call, ...origin } : call;
+    }
+
     function findAccount(head: RequestHead, route: HttpRouteObject): ClientAccountObject | undefined {
         const hasAccounts = configuration.getObjects().list("clientAccount").length > 0;
         const account = head.accountKey === undefined ? undefined : configuration.findAccount(head.accountKey);
@@ -285,6 +307,7 @@
                 serverNotices,
                 loadExchange,
                 retryWindow,
+                streamOrigins,
                 crashGuard,
                 log,
                 getAnswerHeaders,
--- a/src/entry/direct/serverView.ts
+++ b/src/entry/direct/serverView.ts
@@ -26,6 +26,8 @@
     /** Address at which other entries can reach this one. */
     readonly watcher: Address;
     readonly onChange: (servers: readonly BackendServerRecord[]) => void;
+    /** Called after each answer of control, with all records, also those of servers that are gone. */
+    readonly onAnswer: (records: readonly BackendServerRecord[]) => void;
     /** Called after each answer of control, with addresses of some other entries and this entry's position among all of them. */
     readonly onWatchers: (watchers: readonly Address[], position: EntryPosition) => void;
 }
@@ -62,6 +64,7 @@
         options.onWatchers(reply.watchers, { rank: reply.watcherRank, count: reply.watcherCount });
         const changed = reply.servers.filter(server => table.merge(server, host.clock.nowMs()) === "changed");
         if (changed.length > 0) applyChanges(changed);
+        options.onAnswer(table.listSince(0));
     }
 
     function applyChanges(changed: readonly BackendServerRecord[]): void {
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -34,6 +34,8 @@
     readonly promptParts: readonly PromptPart[];
     /** Last event that the caller received of the stream that it resumes. */
     readonly lastEventId?: string;
+    /** Identifier of the request that brought the first event of the stream that the caller resumes. */
+    readonly resumedRequestId?: string;
     /** Headers that are forwarded to the backend server unchanged. */
     readonly passthroughHeaders: Headers;
 }
@@ -105,6 +107,8 @@
     readonly request: HttpRequest;
     readonly route: HttpRouteObject;
     readonly pool: string;
+    /** Software version at which the stream began that the request goes on with. */
+    readonly softwareVersion?: string;
     readonly account?: ClientAccountObject;
     /** Digest of what makes two requests the same, without the attempt. */
     readonly fingerprint: string;
@@ -125,3 +129,8 @@
 export function isStream(route: HttpRouteObject): boolean {
     return route.repeat === "stream" || route.repeat === "resumableStream";
 }
+
+/** True when the request goes on with a stream of which the caller has events. */
+export function isResumption(call: DirectCall): boolean {
+    return call.route.repeat === "resumableStream" && call.head.lastEventId !== undefined && call.head.lastEventId !== "";
+}
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -102,6 +102,35 @@
 /** Backend server records and watching entries that one control VM gossips to another. */
 export type DirectoryGossip = Readonly<z.infer<typeof directoryGossipSchema>>;
 
+/** Where a resumable stream began: the pool and the software version of its backend server. */
+export const streamOriginSchema = z.object({
+    /** Identifier that the caller chose for the request that began the stream. */
+    requestId: boundedString,
+    pool: boundedString,
+    softwareVersion: z.string().max(maxTextLength),
+}).readonly();
+/** Where a resumable stream began. */
+export type StreamOriginRecord = z.infer<typeof streamOriginSchema>;
+
+/** Asks a control VM where a stream began. */
+export const originRequestSchema = z.object({
+    requestId: boundedString.optional(),
+    pool: boundedString,
+    /** Longest time for which a caller may take a stream up again. */
+    windowMs: z.number().nonnegative(),
+}).readonly();
+/** Asks a control VM where a stream began. */
+export type OriginRequest = z.infer<typeof originRequestSchema>;
+
+/** What one control VM knows of a stream. */
+export interface OriginReply {
+    readonly origin?: Omit<StreamOriginRecord, "requestId">;
+    /** True if this control VM has run during the whole window, so that it would know of each stream that it was told of. */
+    readonly isWindowKnown: boolean;
+    /** The only version that the pool had at the start of the window. Absent if there were several. */
+    readonly versionBefore?: string;
+}
+
 /** A request of a control VM with an empty disk to join the group. */
 export const joinSchema = z.object({ voterId: boundedString, address: boundedString, failureDomain: z.string() });
 /** A request of a control VM to join the group. */
@@ -174,6 +203,9 @@
     /** Receives gossip from another control VM. Returns this VM's incarnation. */
     spread(message: DirectoryGossip): { readonly incarnation: string; };
     /** Adds a control VM to the group as a learner. It becomes a voter once it has caught up and a voter slot is free. */
+    /** Keeps where streams began, for entries that do not know it. */
+    recordOrigins(message: { readonly origins: readonly StreamOriginRecord[]; }): true;
+    findOrigin(request: OriginRequest): OriginReply;
     join(request: JoinRequest): Promise<ControlReply<boolean>>;
     replaceVoter(request: { oldVoterId: string; voterId: string; address: string; failureDomain: string; }): Promise<ControlReply<boolean>>;
 }
@@ -189,6 +221,9 @@
         ping: rpc.procedure.query(() => api.ping()),
         watchDirectory: rpc.procedure.input(directoryRequestSchema).query(({ input }) => api.watchDirectory(input)),
         spread: rpc.procedure.input(directoryGossipSchema).mutation(({ input }) => api.spread(input)),
+        recordOrigins: rpc.procedure.input(z.object({ origins: z.array(streamOriginSchema).max(10_000) }))
+            .mutation(({ input }) => api.recordOrigins(input)),
+        findOrigin: rpc.procedure.input(originRequestSchema).query(({ input }) => api.findOrigin(input)),
         join: rpc.procedure.input(joinSchema).mutation(({ input }) => api.join(input)),
         replaceVoter: rpc.procedure
             .input(z.object({ oldVoterId: boundedString, voterId: boundedString, address: boundedString, failureDomain: z.string() }))
--- a/src/kernel/controlClient.ts
+++ b/src/kernel/controlClient.ts
@@ -26,6 +26,9 @@
     readonly operationId?: OperationId;
 }
 
+/** Sends a call on a client. The signal says that nobody waits for the reply any longer. */
+export type SendCall<T> = (client: TRPCClient<ControlRouter>, signal: AbortSignal) => Promise<T>;
+
 /** Client of the control group. */
 export interface ControlClient {
     readonly time: ControlTimeBound;
@@ -36,6 +39,8 @@
     watch(request: WatchRequest): Promise<WatchReply | undefined>;
     /** Waits for changes to backend servers at any control VM. Undefined if the call fails or the VM has lost its leader. */
     watchDirectory(request: DirectoryRequest): Promise<DirectoryReply | undefined>;
+    /** Calls each control VM by itself. Each call resolves to undefined if it fails. */
+    callEachMember<T>(send: SendCall<T>, timeoutMs: number): readonly Promise<T | undefined>[];
     /** Returns the number of calls so far by kind, for benchmarks. */
     getCallCounts(): Readonly<Record<string, number>>;
 }
@@ -53,9 +58,6 @@
 /** Default timing, for a fleet in which calls may take long. */
 export const defaultClientTiming: ControlClientTiming = { attemptTimeoutMs: 2_000, hedgingDelayMs: 500, probeIntervalMs: 1_000 };
 
-/** Sends a call on a client. The signal says that nobody waits for the reply any longer. */
-type SendCall<T> = (client: TRPCClient<ControlRouter>, signal: AbortSignal) => Promise<T>;
-
 /** Delay after each attempt that completes a round over all members. */
 const delayBetweenRoundsMs = 50;
 /** Time that a long poll and its reply may spend outside of control's wait. A longer one is logged. */
@@ -103,6 +105,7 @@
                 (client, signal) => client.watchDirectory.query(request, { ...longPollOptions, signal }) as Promise<DirectoryReply>,
                 request.timeoutMs + Math.min(timing.attemptTimeoutMs, maxWatchGraceMs),
             ),
+        callEachMember: (send, timeoutMs) => paths.listMemberPaths().map(path => tryHedged(send, path, timeoutMs)),
         getCallCounts: () => callCounts,
     };
 
--- a/src/kernel/controlPaths.ts
+++ b/src/kernel/controlPaths.ts
@@ -16,6 +16,8 @@
 export interface ControlPaths {
     /** Returns the path to the presumed leader. */
     getLeaderPath(): ControlPath;
+    /** Returns the paths to all known control VMs. */
+    listMemberPaths(): readonly ControlPath[];
     /** Returns the path for calls that any control VM can answer. The VM stays the same until it is changed or leaves the group. */
     getPreferredMemberPath(): ControlPath;
     /** Returns the relayed path to the target of a direct path. Undefined if no relay is known or the path is already relayed. */
@@ -55,6 +57,7 @@
 
     return {
         getLeaderPath: () => getPath(leader),
+        listMemberPaths: () => members.map(getPath),
         getPreferredMemberPath: () => getPath(preferredMember),
         getRelayedPath: path => relay === undefined || path.relay !== undefined ? undefined : { address: path.address, relay },
         recordFailure(path) {
--- a/src/kernel/diagnostics.ts
+++ b/src/kernel/diagnostics.ts
@@ -37,6 +37,16 @@
         title: "Backend servers limited",
         text: "All backend servers have limited their rate of requests, and it is used up.",
     },
+    streamOriginUnknown: {
+        status: 503,
+        title: "Stream of unknown origin",
+        text: "It is not known which software version began this stream, and several are in service.",
+    },
+    streamVersionGone: {
+        status: 503,
+        title: "Version of the stream gone",
+        text: "No backend server of the software version that began this stream is in service.",
+    },
     backendServerRefused: { status: 503, title: "Refused", text: "The backend server refused the request before it ran." },
     backendServerDraining: { status: 503, title: "Draining", text: "The backend server takes no new work." },
     backendServerCrashed: { status: 502, title: "Backend server crashed", text: "The backend server stopped while the request ran." },
--- a/test/directFleet.ts
+++ b/test/directFleet.ts
@@ -35,6 +35,8 @@
     readonly address: string;
     /** Start of the current incarnation. */
     bornMs: number;
+    /** Version of its software. */
+    version: string;
     /** Attempt ids of the requests that the server ran. */
     readonly runs: string[];
     readonly receivedRequests: HttpRequest[];
@@ -146,12 +148,12 @@
         },
         async heartbeat(server, controlIndex) {
             server.sequence++;
-            const { id, address, sequence, state, bornMs } = server;
+            const { id, address, sequence, state, bornMs, version } = server;
             const body = {
                 service: "models",
                 address,
                 zone: "a",
-                version: "v1",
+                version,
                 slots: 8,
                 state,
                 cold_left_ms: 0,
@@ -219,6 +221,7 @@
         runs: [],
         receivedRequests: [],
         bornMs: firstBornMs,
+        version: "v1",
         behavior: sendCompleteAnswer,
         isDown: false,
         sequence: 0,
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -85,6 +85,7 @@
                         },
                     },
                     serverNotices: createServerNotices(),
+                    streamOrigins: { record: () => Promise.resolve() },
                     serverLimits: {
                         ...limits,
                         recordAnswer(backendServer, limit, sentAtMs, nowMs) {
--- /dev/null
+++ b/test/streamVersions.test.ts
@@ -0,0 +1,173 @@
+/** A stream goes on only at servers of the software version that began it. */
+import { test } from "tap";
+import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
+import { createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
+import type { CallResult, DirectFleet, FakeServer, ServerBehavior } from "./directFleet.js";
+
+/** Longer than the longest time for which a stream can be taken up again. */
+const windowMs = 16_000;
+
+/** Sends the first event, then breaks off. Goes on to the end with a stream that has begun. */
+const breakAfterFirstEvent: ServerBehavior = async (request, response, server) => {
+    if (request.headers["last-event-id"] !== undefined) return sendCompleteAnswer(request, response, server);
+    server.runs.push(request.headers["x-attempt-id"] ?? "");
+    response.start(200, createSealHeaders(request));
+    await response.write(Buffer.from("id: 1\ndata: piece 1\n\n"));
+    response.abort();
+};
+
+/** Sends the first event and then nothing, so that only the loss of the entry ends the stream. */
+const holdAfterFirstEvent: ServerBehavior = async (request: HttpRequest, response: HttpResponse, server: FakeServer) => {
+    if (request.headers["last-event-id"] !== undefined) return sendCompleteAnswer(request, response, server);
+    server.runs.push(request.headers["x-attempt-id"] ?? "");
+    response.start(200, createSealHeaders(request));
+    await response.write(Buffer.from("id: 1\ndata: piece 1\n\n"));
+    await new Promise(() => undefined);
+};
+
+/** Creates a fleet whose first servers have version v1 and whose last ones have v2. */
+async function createMixedFleet(seed: number, versions: readonly string[], entries = 2): Promise<DirectFleet> {
+    const fleet = await createDirectFleet(seed, { entries, servers: versions.length });
+    for (const [index, server] of fleet.servers.entries()) {
+        server.version = versions[index]!;
+        await fleet.simulation.runUntil(fleet.heartbeat(server, 0));
+    }
+    await keepAlive(fleet, 1_000);
+    return fleet;
+}
+
+async function keepAlive(fleet: DirectFleet, durationMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 1_000) {
+        for (const server of fleet.servers) if (!server.isDown) await fleet.simulation.runUntil(fleet.heartbeat(server, 0));
+        await fleet.simulation.advance(Math.min(1_000, durationMs - passedMs));
+    }
+}
+
+function resume(fleet: DirectFleet, entry: number, id: string, resumedId: string | undefined): Promise<CallResult> {
+    const headers = { "last-event-id": "1", ...resumedId === undefined ? {} : { resumes: resumedId } };
+    return fleet.simulation.runUntil(fleet.call(entry, { path: "/resume/1", id, headers }));
+}
+
+function findRunner(fleet: DirectFleet, id: string): FakeServer | undefined {
+    return fleet.servers.find(server => server.runs.includes(id));
+}
+
+test("a stream that breaks goes on in the same answer only at the version that began it", async t => {
+    for (let seed = 71; seed < 77; seed++) {
+        const fleet = await createMixedFleet(seed, ["v1", "v2", "v2"], 1);
+        for (const server of fleet.servers) server.behavior = breakAfterFirstEvent;
+        const result = await fleet.simulation.runUntil(fleet.call(0, { path: "/resume/1", id: "a" }));
+        const runners = fleet.servers.filter(server => server.runs.includes("a"));
+        t.equal(new Set(runners.map(server => server.version)).size, 1, runners.map(server => server.version).join(" "));
+        t.equal(result.isComplete, runners.length === 2);
+    }
+});
+
+test("a stream whose entry is killed goes on at another entry only at the version that began it", async t => {
+    const fleet = await createMixedFleet(81, ["v1", "v1", "v2", "v2"]);
+    for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+    const ids = Array.from({ length: 12 }, (_, index) => `a${index}`);
+    for (const id of ids) void fleet.call(0, { path: "/resume/1", id, deadlineMs: 10_000 });
+    await fleet.simulation.advance(400);
+    t.ok(fleet.servers.every(server => server.runs.length > 0));
+    fleet.entries[0]!.vm.crash();
+    for (const id of ids) {
+        const result = await resume(fleet, 1, `b-${id}`, id);
+        t.match(result, { status: 200, isComplete: true });
+        t.equal(findRunner(fleet, `b-${id}`)?.version, findRunner(fleet, id)?.version, id);
+    }
+});
+
+test("streams go on at the version that began them after all entries were killed at once", async t => {
+    const fleet = await createMixedFleet(82, ["v1", "v1", "v2", "v2"]);
+    for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+    const ids = Array.from({ length: 12 }, (_, index) => `a${index}`);
+    for (const [index, id] of ids.entries()) void fleet.call(index % 2, { path: "/resume/1", id, deadlineMs: 10_000 });
+    await fleet.simulation.advance(400);
+    for (const [index, entry] of fleet.entries.entries()) {
+        entry.vm.restart();
+        await fleet.startEntry(index);
+    }
+    await fleet.simulation.advance(1_000);
+    for (const [index, id] of ids.entries()) {
+        const result = await resume(fleet, (index + 1) % 2, `b-${id}`, id);
+        t.match(result, { status: 200, isComplete: true });
+        t.equal(findRunner(fleet, `b-${id}`)?.version, findRunner(fleet, id)?.version, id);
+    }
+});
+
+test("a stream that began before the second version was there goes on at the first one, after its entry was killed", async t => {
+    const fleet = await createDirectFleet(83, { entries: 2, servers: 3 });
+    await keepAlive(fleet, windowMs + 5_000);
+    for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+    for (let index = 0; index < 6; index++) void fleet.call(0, { path: "/resume/1", id: `a${index}`, deadlineMs: 10_000 });
+    await fleet.simulation.advance(300);
+    // Both other servers are replaced while the streams are open.
+    for (const server of fleet.servers.slice(1)) {
+        server.version = "v2";
+        server.bornMs += 50_000;
+        server.sequence = 0;
+        await fleet.simulation.runUntil(fleet.heartbeat(server, 0));
+    }
+    await fleet.simulation.advance(500);
+    fleet.entries[0]!.vm.crash();
+    for (let index = 0; index < 6; index++) {
+        const result = await resume(fleet, 1, `b${index}`, `a${index}`);
+        t.match(result, { status: 200, isComplete: true });
+        t.equal(findRunner(fleet, `b${index}`)?.version, "v1");
+    }
+});
+
+test("a stream whose version has no server left is refused at once as not run", async t => {
+    const fleet = await createMixedFleet(84, ["v1", "v2"]);
+    const [older, newer] = fleet.servers;
+    newer!.behavior = (request, response) => {
+        response.start(503, { "x-attempt-id": request.headers["x-attempt-id"] ?? "", "x-not-executed": "1" });
+        response.end();
+        return Promise.resolve();
+    };
+    older!.behavior = holdAfterFirstEvent;
+    void fleet.call(0, { path: "/resume/1", id: "a", deadlineMs: 10_000 });
+    await fleet.simulation.advance(300);
+    t.equal(findRunner(fleet, "a"), older);
+    older!.state = "draining";
+    await fleet.simulation.runUntil(fleet.heartbeat(older!, 0));
+    await fleet.simulation.advance(500);
+    newer!.behavior = sendCompleteAnswer;
+    for (const entry of [0, 1]) {
+        const sentAtMs = fleet.simulation.nowMs();
+        const result = await resume(fleet, entry, `b${entry}`, "a");
+        t.equal(result.status, 503);
+        t.match(result.text, "streamVersionGone");
+        t.ok(fleet.simulation.nowMs() - sentAtMs < 200);
+        t.equal(findRunner(fleet, `b${entry}`), undefined);
+    }
+});
+
+test("a stream of unknown origin is refused while several versions are in service", async t => {
+    const fleet = await createMixedFleet(85, ["v1", "v2"]);
+    for (const resumedId of ["never-seen", undefined]) {
+        const result = await resume(fleet, 1, `b-${resumedId}`, resumedId);
+        t.equal(result.status, 503);
+        t.match(result.text, "streamOriginUnknown");
+    }
+    t.same(fleet.servers.flatMap(server => server.runs), []);
+});
+
+test("while one version only is in service nothing is told to control, and every stream goes on", async t => {
+    const fleet = await createDirectFleet(86, { entries: 2 });
+    await keepAlive(fleet, windowMs);
+    const calls = fleet.controls.map(control => control.process!.part.api);
+    let told = 0;
+    for (const api of calls) {
+        const { recordOrigins, findOrigin } = api;
+        Object.assign(api, {
+            recordOrigins: (message: Parameters<typeof recordOrigins>[0]) => (told++, recordOrigins(message)),
+            findOrigin: (request: Parameters<typeof findOrigin>[0]) => (told++, findOrigin(request)),
+        });
+    }
+    t.match(await fleet.simulation.runUntil(fleet.call(0, { path: "/resume/1", id: "a" })), { status: 200, isComplete: true });
+    t.match(await resume(fleet, 1, "b", "a"), { status: 200, isComplete: true });
+    t.match(await resume(fleet, 1, "c", undefined), { status: 200, isComplete: true });
+    t.equal(told, 0);
+});
