Know a connection that was reset from one that has ended, also when both are read at once

Traced: each entry that failed had called resetAndDestroy on a sound socket, and had itself seen 'the stream ended inside an event' where the backend server had reset. libuv reports a reset that is polled together with data as an ordinary end of the stream. So the test's caller overlooked resets; and an entry took a body without a length that was reset for a whole one (MIXED), since only a whole event stood before the end. Change: at the end of a connection to a backend server its peer's address is asked for: a reset connection has none. The test's caller does the same.

--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -14,6 +14,8 @@
 import { choosePlacement } from "./placement.js";
 import type { Placement } from "./placement.js";
 import type { RetryWindow } from "./retryWindow.js";
+import { chooseServers } from "./serverChoice.js";
+import type { ServerChoice } from "./serverChoice.js";
 import type { ServerLimits } from "./serverLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
 import type { ServerView } from "./serverView.js";
@@ -146,39 +148,26 @@
 
     function choosePlacementForCall(): Placement | undefined {
         const nowMs = host.clock.nowMs();
-        const servers = options.servers.listPool(call.pool).filter(fitsStream);
-        if (servers.length === 0 && progress.softwareVersion !== undefined && progress.dispatches === 0) {
-            progress.verdict = createVerdict("notRun", "streamVersionGone", `Version ${progress.softwareVersion}.`);
+        const restrictions = { limits: options.serverLimits, notices: options.serverNotices };
+        const choice = chooseServers(options.servers.listPool(call.pool), progress, restrictions, nowMs);
+        if (choice.kind !== "open") {
+            if (progress.dispatches === 0) progress.verdict = createNoServerVerdict(choice);
+            return undefined;
         }
-        const untried = servers.filter(server => !progress.triedServers.has(server.backendServer));
-        const open = untried.filter(server => getWaitMs(server, nowMs) === 0);
-        if (untried.length > 0 && open.length === 0 && progress.dispatches === 0) {
-            const fleetWaitMs = getFleetWaitMs(untried, nowMs);
-            if (fleetWaitMs < Infinity) {
-                progress.verdict = createVerdict("notRun", "serversLimited", undefined, fleetWaitMs + getRetryAfterMs());
-            }
-        }
-        const staying = open.filter(server => !options.serverNotices.isLeaving(server));
-        const candidates = (staying.length > 0 ? staying : open)
-            .map(server => ({ server, tracked: options.loads.get(server.backendServer) }));
+        const candidates = choice.servers.map(server => ({ server, tracked: options.loads.get(server.backendServer) }));
         const request = { promptTokens: call.head.generation?.promptTokens ?? 0, promptParts: call.head.promptParts };
         return choosePlacement(request, candidates, nowMs, host.random.nextFloat());
     }
 
-    function fitsStream(server: BackendServerRecord): boolean {
-        return progress.softwareVersion === undefined || server.softwareVersion === progress.softwareVersion;
-    }
-
-    function getWaitMs(server: BackendServerRecord, nowMs: number): number {
-        return Math.max(options.serverLimits.getWaitMs(server.backendServer, nowMs), options.serverNotices.getWaitMs(server, nowMs));
-    }
-
-    // A caller that returns may reach another entry, which may be allowed to send earlier than this one. A pause is meant for this entry
-    // only, but a server that asked one entry for it has no room for the others either.
-    function getFleetWaitMs(servers: readonly BackendServerRecord[], nowMs: number): number {
-        const pausesMs = servers.map(server => options.serverNotices.getWaitMs(server, nowMs));
-        const limited = servers.filter((_, index) => pausesMs[index] === 0).map(server => server.backendServer);
-        return limited.length > 0 ? options.serverLimits.getFleetWaitMs(limited, nowMs) : Math.min(...pausesMs);
+    function createNoServerVerdict(choice: Exclude<ServerChoice, { kind: "open"; }>): Verdict {
+        switch (choice.kind) {
+            case "none":
+                return createVerdict("notRun", "noBackendServer", undefined, getRetryAfterMs());
+            case "versionGone":
+                return createVerdict("notRun", "streamVersionGone", `Version ${progress.softwareVersion}.`, getRetryAfterMs());
+            case "limited":
+                return createVerdict("notRun", "serversLimited", undefined, choice.fleetWaitMs + getRetryAfterMs());
+        }
     }
 
     async function makeAttempt(placement: Placement): Promise<AttemptOutcome> {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -25,6 +25,8 @@
 import type { DeliveryResult } from "./delivery.js";
 import { createLoadExchange } from "./loadExchange.js";
 import { createLoadTracker } from "./loadTracker.js";
+import { createRequestLog } from "./requestLog.js";
+import type { EndedRequest } from "./requestLog.js";
 import { createRetryWindow } from "./retryWindow.js";
 import type { RetryRules } from "./retryWindow.js";
 import { choosePool, createRouteTable } from "./routeTable.js";
@@ -142,6 +144,7 @@
         onVoterAddresses: options.onVoterAddresses,
         onChange: applyConfiguration,
     });
+    const requestLog = createRequestLog(host, { statistics, getVersion: () => configuration.version });
     const crashGuard = createCrashGuard(host, { control, configuration, connections: options.connections });
     let routes: RouteTable = createRouteTable([]);
     let limits: IngressLimitsObject | undefined;
@@ -237,7 +240,7 @@
             const head = protocol.parseRequest(request);
             if ("problem" in head) refuse("badRequest", head.problem);
             requestId = head.requestId;
-            if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
+            if (request.signal.aborted) return requestLog.recordDisconnect({ request, requestId, arrivedAtMs });
             if (isRefusing) refuse("stopping", undefined, retryAfterMs.stopping);
             await waitUntil(host, stateChanged, isSynced, Math.min(startWaitMs, head.timeoutMs ?? startWaitMs));
             await serve(await followOrigin(createCall(head, request, arrivedAtMs)), response);
@@ -247,7 +250,7 @@
             if (verdict.code === "outcomeUnknown" && !request.signal.aborted) {
                 log.error("A request failed.", { requestId, detail: getErrorText(error) });
             }
-            writeRefusal(request, response, verdict, requestId, arrivedAtMs);
+            writeRefusal({ request, requestId, arrivedAtMs }, response, verdict);
         }
         finally {
             runningRequests--;
@@ -318,40 +321,13 @@
             const billedTokens = delivery === undefined ? reservation?.reservedTokens ?? 0 : computeBilledTokens(call, delivery);
             reservation?.settle(directAgentKey, Math.min(billedTokens, reservation.reservedTokens));
         }
-        logCompletion(call, delivery, reservedAtMs);
+        requestLog.recordCompletion(call, delivery, computeBilledTokens(call, delivery), reservedAtMs);
         if (delivery.verdict !== undefined && !response.hasStarted) {
-            writeRefusal(call.request, response, delivery.verdict, call.head.requestId, call.arrivedAtMs);
+            const { request, arrivedAtMs, head: { requestId } } = call;
+            writeRefusal({ request, requestId, arrivedAtMs }, response, delivery.verdict);
         }
     }
 
-    function logCompletion(call: DirectCall, delivery: DeliveryResult, reservedAtMs: number): void {
-        const { generation } = call.head;
-        const tookMs = host.clock.nowMs() - call.arrivedAtMs;
-        for (let attempt = 0; attempt < delivery.attempts; attempt++) statistics.recordDispatch();
-        for (let attempt = 1; attempt < delivery.attempts; attempt++) statistics.recordRetry();
-        if (delivery.verdict === undefined) statistics.recordAnswer("interactive", tookMs);
-        log.info("A request ended.", {
-            requestId: call.head.requestId,
-            route: call.route.name,
-            account: call.account?.name,
-            outcome: delivery.verdict?.code ?? "answered",
-            attempts: delivery.attempts,
-            events: delivery.deliveredEvents,
-            billedTokens: computeBilledTokens(call, delivery),
-            reservedTokens: generation === undefined ? 0 : getReservationTokens(generation),
-            version: configuration.version,
-            backendServer: delivery.placement?.server.backendServer,
-            readTokens: delivery.placement?.prefillTokens,
-            aheadTokens: roundOptional(delivery.placement?.queuedTokens),
-            expectedStartMs: roundOptional(delivery.placement?.expectedStartMs),
-            connectionAgeMs: Math.round(call.request.connectionAgeMs),
-            waitedMs: Math.round(call.request.waitedMs),
-            reservedAfterMs: Math.round(reservedAtMs - call.arrivedAtMs),
-            answeredAfterMs: roundOptional(delivery.answeredAtMs === undefined ? undefined : delivery.answeredAtMs - call.arrivedAtMs),
-            tookMs: Math.round(tookMs),
-        });
-    }
-
     async function reserve(call: DirectCall): Promise<Reservation | undefined> {
         const { generation } = call.head;
         if (generation === undefined || call.account === undefined) return undefined;
@@ -373,38 +349,11 @@
         return isStopping ? { connection: "close" } : {};
     }
 
-    function logDisconnect(request: HttpRequest, requestId: string | undefined, arrivedAtMs: number): void {
-        statistics.recordAbandoned();
-        log.info("The caller disconnected before the answer.", {
-            requestId,
-            path: request.path,
-            connectionAgeMs: Math.round(request.connectionAgeMs),
-            waitedMs: Math.round(request.waitedMs),
-            tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
-        });
-    }
-
-    function writeRefusal(
-        request: HttpRequest,
-        response: HttpResponse,
-        verdict: Verdict,
-        requestId: string | undefined,
-        arrivedAtMs: number,
-    ): void {
-        if (request.signal.aborted) return logDisconnect(request, requestId, arrivedAtMs);
-        statistics.recordRefusal(verdict.code);
-        log.info("A request was refused.", {
-            requestId,
-            path: request.path,
-            verdict: verdict.kind,
-            code: verdict.code,
-            detail: verdict.detail,
-            retryAfterMs: verdict.retryAfterMs === undefined ? undefined : Math.round(verdict.retryAfterMs),
-            version: configuration.version,
-            tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
-        });
+    function writeRefusal(ended: EndedRequest, response: HttpResponse, verdict: Verdict): void {
+        if (ended.request.signal.aborted) return requestLog.recordDisconnect(ended);
+        requestLog.recordRefusal(ended, verdict);
         if (response.hasStarted) return response.abort();
-        const headers = { ...protocol.createRefusalHeaders(verdict, requestId), ...getAnswerHeaders() };
+        const headers = { ...protocol.createRefusalHeaders(verdict, ended.requestId), ...getAnswerHeaders() };
         const body = Buffer.from(JSON.stringify({ code: verdict.code, detail: verdict.detail }));
         response.start(getStatus(verdict), {
             ...headers,
@@ -419,10 +368,6 @@
 /** Key of direct dispatch in the settled totals of a lease, which are kept per agent. */
 const directAgentKey = "direct";
 
-function roundOptional(value: number | undefined): number | undefined {
-    return value === undefined ? undefined : Math.round(value);
-}
-
 function getStatus(verdict: Verdict): number {
     return messages[verdict.code].status;
 }
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -94,6 +94,9 @@
                         connection.socketError = undefined;
                         connection.responses = 0;
                         connection.socket = socket as Socket;
+                        (socket as Socket).prependOnceListener("end", () => {
+                            if (wasReset(socket as Socket)) connection.socketError = new VError("the connection to %s was reset", address);
+                        });
                         // undici also destroys sockets with its own errors, which say nothing about the server.
                         (socket as Socket).once("error", socketError => {
                             if ("syscall" in socketError) connection.socketError = socketError;
@@ -122,6 +125,14 @@
     }
 }
 
+/**
+ * Tells at the end of a connection whether it was reset. A reset that is read together with the last bytes is reported as an ordinary end. But a
+ * connection that was reset has no peer any more, while one that its peer has ended still has one.
+ */
+export function wasReset(socket: Socket): boolean {
+    return socket.remoteAddress === undefined;
+}
+
 /** undici does not close the connection of a response that has arrived in full, even if nobody has read it. Returns what ends the watch. */
 function closeOnAbort(connection: Connection, signal: AbortSignal | undefined): () => void {
     const { socket } = connection;
--- a/test/cutHeads.test.ts
+++ b/test/cutHeads.test.ts
@@ -76,3 +76,16 @@
     );
     t.same(cuts.filter((_, index) => /^HTTP\/1.1 200 /.test(views[index]!.text) && !views[index]!.isReset), []);
 });
+
+test("a stream without a length whose reset is read together with its last bytes is reset to its caller, also after a whole event", async t => {
+    const head = createSealedHead("cut", "Connection: close");
+    for (const sent of [head + event, head + event + event, head + event.slice(0, 5)]) {
+        const delivery = await startRealDelivery("stream", ({ socket }) => {
+            socket.write(sent);
+            socket.resetAndDestroy();
+        });
+        const views = await Promise.all(Array.from({ length: 20 }, () => delivery.call("cut")));
+        for (const view of views) t.ok(view.isReset || !view.text.startsWith("HTTP/1.1 200 "), view.text);
+        await delivery.close();
+    }
+});
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -9,6 +9,7 @@
 import { createServerNotices } from "../src/entry/direct/serverNotices.js";
 import type { DirectCall, NamedLimit, ServerLoad } from "../src/entry/direct/types.js";
 import { parseAddress } from "../src/kernel/address.js";
+import { wasReset } from "../src/kernel/backendConnections.js";
 import { messages } from "../src/kernel/diagnostics.js";
 import type { BackendServerRecord } from "../src/kernel/directory.js";
 import type { HttpRequest } from "../src/kernel/host.js";
@@ -184,6 +185,9 @@
         let isReset = false;
         const socket = net.connect(port, host);
         socket.on("data", part => parts.push(part));
+        socket.prependOnceListener("end", () => {
+            isReset = wasReset(socket);
+        });
         socket.once("error", () => {
             isReset = true;
         });
