--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -131,8 +131,7 @@
 async function readStore(disk: Disk, folder: string, groupId: string, voterId: VoterId): Promise<LogStore> {
     const marker = await readMarker(disk, folder, groupId, voterId);
     let hardState = await readRecordFile<HardState>(disk, folder, hardStateFile);
-    let snapshot = await readSnapshot(disk, folder);
-    let snapshotBytes = snapshot === undefined ? 0 : await getFileBytes(disk, `${folder}/${snapshotFile}`);
+    let { snapshot, sizeBytes: snapshotBytes } = await readSnapshot(disk, folder);
     const segments: Segment[] = [];
     let entries: StoredEntry[] = [];
     await readSegments();
@@ -193,12 +192,13 @@
         saveSnapshot: (newSnapshot, retainedBytes) =>
             runInOrder(async () => {
                 if (newSnapshot.index <= (snapshot?.index ?? 0)) return;
-                await writeSnapshot(newSnapshot);
+                setSnapshot(newSnapshot, await writeSnapshot(newSnapshot));
                 await removeOldSegments(retainedBytes);
             }),
         installSnapshot: newSnapshot =>
             runInOrder(async () => {
-                await writeSnapshot(newSnapshot);
+                const sizeBytes = await writeSnapshot(newSnapshot);
+                setSnapshot(newSnapshot, sizeBytes);
                 await removeAllSegments();
                 durableIndex = newSnapshot.index;
             }),
@@ -238,11 +238,16 @@
         return selected;
     }
 
-    async function writeSnapshot(newSnapshot: Snapshot): Promise<void> {
+    /** Returns the size of the snapshot. */
+    async function writeSnapshot(newSnapshot: Snapshot): Promise<number> {
         const record = encodeRecord(newSnapshot);
         await replaceFile(disk, folder, snapshotFile, record);
+        return record.length;
+    }
+
+    function setSnapshot(newSnapshot: Snapshot, sizeBytes: number): void {
         snapshot = newSnapshot;
-        snapshotBytes = record.length;
+        snapshotBytes = sizeBytes;
     }
 
     // Writes all pending appends with one write and one sync.
@@ -405,19 +410,25 @@
 }
 
 async function readRecordFile<T>(disk: Disk, folder: string, file: string): Promise<T> {
-    const data = await disk.read(`${folder}/${file}`);
+    return decodeRecordFile(await disk.read(`${folder}/${file}`), folder, file);
+}
+
+function decodeRecordFile<T>(data: Uint8Array | undefined, folder: string, file: string): T {
     const record = data === undefined ? undefined : tryDecodeRecord(Buffer.from(data), 0);
     if (record === undefined) throw new UnusableStoreError(`${folder}/${file} is missing or corrupt; replace this voter`);
     return record.value as T;
 }
 
-async function readSnapshot(disk: Disk, folder: string): Promise<Snapshot | undefined> {
-    if (await disk.read(`${folder}/${snapshotFile}`) === undefined) return undefined;
-    return readRecordFile<Snapshot>(disk, folder, snapshotFile);
+/** A snapshot and its size on disk, which is 0 if there is none. */
+interface StoredSnapshot {
+    readonly snapshot?: Snapshot;
+    readonly sizeBytes: number;
 }
 
-async function getFileBytes(disk: Disk, file: string): Promise<number> {
-    return (await disk.read(file))?.length ?? 0;
+async function readSnapshot(disk: Disk, folder: string): Promise<StoredSnapshot> {
+    const data = await disk.read(`${folder}/${snapshotFile}`);
+    if (data === undefined) return { sizeBytes: 0 };
+    return { snapshot: decodeRecordFile<Snapshot>(data, folder, snapshotFile), sizeBytes: data.length };
 }
 
 async function replaceFile(disk: Disk, folder: string, file: string, data: Uint8Array): Promise<void> {
