Tell control where streams began also beside a request whose id its schema refuses

Found in the read-through: callers choose the ids of their requests, and one of more than 200 characters made control refuse all streams of the same batch. Such a stream is kept by its entry only, and is refused as of unknown origin elsewhere while several versions serve. Evidence: test/streamVersions.test.ts, four other streams of the batch were refused when they were taken up before, none now.

--- a/src/entry/direct/loadExchange.ts
+++ b/src/entry/direct/loadExchange.ts
@@ -4,7 +4,7 @@
  * lost messages need no separate recovery. An entry sends a limited number of messages, so that the exchange costs the same at any
  * traffic and any number of peers: above the limit each peer hears less often.
  */
-import { maxSharedPartIdLength } from "../../kernel/contracts.js";
+import { maxSharedIdLength } from "../../kernel/contracts.js";
 import type { GatewayRouter, SharedLoad, SharedServerLoad } from "../../kernel/contracts.js";
 import type { Host } from "../../kernel/host.js";
 import { createRpcClients } from "../../kernel/rpc.js";
@@ -221,7 +221,7 @@
 function addParts(parts: Map<string, Set<string>>, backendServer: string, partIds: readonly string[]): void {
     const known = parts.get(backendServer) ?? new Set();
     for (const partId of partIds) {
-        if (known.size < maxPartsPerServer && partId.length <= maxSharedPartIdLength) known.add(partId);
+        if (known.size < maxPartsPerServer && partId.length <= maxSharedIdLength) known.add(partId);
     }
     parts.set(backendServer, known);
 }
--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -6,6 +6,7 @@
  * all control VMs where a stream is about to begin, and holds its first event until a majority has answered. Thus a stream that nobody
  * knows began before the second version was there.
  */
+import { maxSharedIdLength } from "../../kernel/contracts.js";
 import type { StreamOriginRecord } from "../../kernel/contracts.js";
 import type { ControlClient } from "../../kernel/controlClient.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
@@ -80,6 +81,7 @@
             ownOrigins.delete(requestId);
             ownOrigins.set(requestId, origin);
             if (ownOrigins.size > maxOwnOrigins) ownOrigins.delete(ownOrigins.keys().next().value!);
+            if (!isSharedId(requestId)) return Promise.resolve();
             if (versions.getOnlyVersionSince(origin.pool, host.clock.nowMs() - windowMs) !== undefined) return Promise.resolve();
             const current = batch ?? startBatch();
             current.origins.push({ requestId, ...origin });
@@ -119,8 +121,9 @@
         pool: string,
         onlyOrigin: StreamOrigin | undefined,
     ): Promise<StreamOrigin | undefined> {
+        const sharedId = requestId !== undefined && isSharedId(requestId) ? requestId : undefined;
         const calls = control.callEachMember(
-            (client, signal) => client.findOrigin.query({ requestId, pool, windowMs }, { signal }),
+            (client, signal) => client.findOrigin.query({ requestId: sharedId, pool, windowMs }, { signal }),
             callTimeoutMs,
         );
         const replies = (await Promise.all(calls)).filter(reply => reply !== undefined);
@@ -143,6 +146,10 @@
     }
 }
 
+function isSharedId(requestId: string): boolean {
+    return requestId !== "" && requestId.length <= maxSharedIdLength;
+}
+
 /** Resolves to the number of answers, as soon as a majority has answered, all calls have ended or the time is over. */
 function waitForMajority(calls: readonly Promise<unknown>[], timeout: Promise<void>): Promise<number> {
     return new Promise(resolve => {
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -20,8 +20,8 @@
 
 const maxTextLength = 200;
 const boundedString = z.string().min(1).max(maxTextLength);
-/** Callers choose the ids of prompt parts. A longer one is not told to other entries, which would refuse the whole message. */
-export const maxSharedPartIdLength = maxTextLength;
+/** Callers choose the ids of requests and of prompt parts. A longer one is told to no other process, which would refuse the whole message. */
+export const maxSharedIdLength = maxTextLength;
 const commandKinds = Object.keys(commandSchemas) as [CommandKind, ...CommandKind[]];
 const queryKinds = Object.keys(querySchemas) as [QueryKind, ...QueryKind[]];
 
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -96,6 +96,20 @@
     }
 });
 
+test("a request with a very long id does not keep other streams from being told to control", async t => {
+    const fleet = await createMixedFleet(87, ["v1", "v1", "v2", "v2"]);
+    for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+    const ids = ["a0", "x".repeat(300), "a1", "a2", "a3"];
+    for (const id of ids) void fleet.call(0, { path: "/resume/1", id, deadlineMs: 10_000 });
+    await fleet.simulation.advance(400);
+    fleet.entries[0]!.vm.crash();
+    for (const id of ["a0", "a1", "a2", "a3"]) {
+        t.match(await resume(fleet, 1, `b-${id}`, id), { status: 200, isComplete: true });
+        t.equal(findRunner(fleet, `b-${id}`)?.version, findRunner(fleet, id)?.version, id);
+    }
+    t.equal((await resume(fleet, 1, "b-long", "x".repeat(300))).status, 503);
+});
+
 test("a stream that began before the second version was there goes on at the first one, after its entry was killed", async t => {
     const fleet = await createDirectFleet(83, { entries: 2, servers: 3 });
     await keepAlive(fleet, windowMs + 5_000);
