Refuse to go on with a stream whose route no longer leads to its pool

Found in the read-through: when a change had moved the route, a stream that was taken up went on in the new pool, at any version: text joined from two services. Change: it is refused at once as not run (streamVersionGone). Evidence: the new test of test/streamVersions.test.ts fails without it (the request is not refused). Noted in the design, not covered: routes split over several pools.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -284,7 +284,8 @@
         const origin = await streamOrigins.resolve(call.head.resumedRequestId, call.pool);
         if (origin === undefined) refuse("streamOriginUnknown", undefined, retryAfterMs.originUnknown);
         const isRouted = call.route.targets.some(target => target.pool === origin.pool);
-        return isRouted ? { ...call, ...origin } : call;
+        if (!isRouted) refuse("streamVersionGone", `The route no longer leads to pool ${origin.pool}.`, retryAfterMs.originUnknown);
+        return { ...call, ...origin };
     }
 
     function findAccount(head: RequestHead, route: HttpRouteObject): ClientAccountObject | undefined {
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -1,7 +1,7 @@
 /** A stream goes on only at servers of the software version that began it. */
 import { test } from "tap";
 import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
-import { createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
+import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
 import type { CallResult, DirectFleet, FakeServer, ServerBehavior } from "./directFleet.js";
 
 /** Longer than the longest time for which a stream can be taken up again. */
@@ -158,6 +158,21 @@
     }
 });
 
+test("a stream whose route now leads to another pool is refused, not joined with what that pool writes", async t => {
+    const fleet = await createMixedFleet(88, ["v1", "v1"]);
+    for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+    void fleet.call(0, { path: "/resume/1", id: "a", deadlineMs: 10_000 });
+    await fleet.simulation.advance(300);
+    const state = createConfiguration(2) as { routes: { name: string; service: string; }[]; services: object[]; };
+    const other = { ...state.services[0], name: "other" };
+    const routes = state.routes.map(route => route.name === "resume" ? { ...route, service: "other" } : route);
+    t.equal(await fleet.simulation.runUntil(fleet.replace(0, { ...state, routes, services: [...state.services, other] })), 200);
+    await fleet.simulation.advance(500);
+    const result = await resume(fleet, 0, "b", "a");
+    t.equal(result.status, 503);
+    t.match(result.text, "streamVersionGone");
+});
+
 test("a stream of unknown origin is refused while several versions are in service", async t => {
     const fleet = await createMixedFleet(85, ["v1", "v2"]);
     for (const resumedId of ["never-seen", undefined]) {
