Remove what a failed disk operation has left before anything is appended

Cause: a store that failed in the middle of an append, a truncation or the start of a segment left files that its memory no longer described: half a record before later ones, a segment that starts in the middle of another, a removed one that came back. Opened again, it was refused as lacking entries, so a voter lost its log to a disk that had only been full. Change: what has to go from the disk is kept until it is gone, its folder synced, and goes before the next append; empty segments are removed when a store is opened.

--- a/src/control/log/store.ts
+++ b/src/control/log/store.ts
@@ -48,6 +48,8 @@
     /** Removes the entry at an index and all later ones. */
     truncateFrom(index: number): Promise<void>;
     saveHardState(state: HardState): Promise<void>;
+    /** Writes to the disk and changes nothing. Throws while the disk refuses writes. */
+    checkWritable(): Promise<void>;
     /**
      * Makes a snapshot durable, then removes old segments whose entries it covers, as long as at least `retainedBytes` of the log remain
      * for followers that lag behind.
@@ -90,6 +92,11 @@
     sizeBytes: number;
 }
 
+interface SegmentFile {
+    readonly file: string;
+    readonly data: Buffer;
+}
+
 /** Creates an empty store for a voter in a folder. Throws if the folder already holds a store. */
 export async function formatStore(disk: Disk, folder: string, marker: Omit<StoreMarker, "formatVersion">): Promise<void> {
     await disk.ensureFolder(folder);
@@ -134,6 +141,9 @@
     let { snapshot, sizeBytes: snapshotBytes } = await readSnapshot(disk, folder);
     const segments: Segment[] = [];
     let entries: StoredEntry[] = [];
+    // What is on the disk and no longer part of the log, also after an operation that failed. Nothing is appended before it is removed.
+    const obsoleteFiles = new Set<string>();
+    const longerFiles = new Set<Segment>();
     await readSegments();
     let durableIndex = getLastIndex();
     // Writes are chained, so that they reach the files one at a time and in the order of the calls.
@@ -184,10 +194,11 @@
             });
         },
         truncateFrom: index => runInOrder(() => truncateFrom(index)),
-        saveHardState: state =>
+        saveHardState: state => runInOrder(() => writeHardState(state)),
+        checkWritable: () =>
             runInOrder(async () => {
-                await replaceFile(disk, folder, hardStateFile, encodeRecord(state));
-                hardState = state;
+                await removeRemnants();
+                await writeHardState(hardState);
             }),
         saveSnapshot: (newSnapshot, retainedBytes) =>
             runInOrder(async () => {
@@ -199,8 +210,8 @@
             runInOrder(async () => {
                 const sizeBytes = await writeSnapshot(newSnapshot);
                 setSnapshot(newSnapshot, sizeBytes);
-                await removeAllSegments();
                 durableIndex = newSnapshot.index;
+                await removeAllSegments();
             }),
         async readSnapshotBytes() {
             const data = await disk.read(`${folder}/${snapshotFile}`);
@@ -238,6 +249,11 @@
         return selected;
     }
 
+    async function writeHardState(newState: HardState): Promise<void> {
+        await replaceFile(disk, folder, hardStateFile, encodeRecord(newState));
+        hardState = newState;
+    }
+
     /** Returns the size of the snapshot. */
     async function writeSnapshot(newSnapshot: Snapshot): Promise<number> {
         const record = encodeRecord(newSnapshot);
@@ -271,17 +287,13 @@
 
     async function writeRecords(records: readonly Buffer[], lastIndex: number): Promise<void> {
         if (records.length === 0) return;
+        await removeRemnants();
         const segment = await getWritableSegment(lastIndex - records.length + 1);
         const path = `${folder}/${segment.file}`;
-        try {
-            await disk.append(path, Buffer.concat(records));
-            await disk.sync(path);
-        }
-        catch (error) {
-            // Truncates a partial write, so that no later append follows an incomplete record.
-            await disk.truncate(path, segment.sizeBytes).catch(() => undefined);
-            throw error;
-        }
+        longerFiles.add(segment);
+        await disk.append(path, Buffer.concat(records));
+        await disk.sync(path);
+        longerFiles.delete(segment);
         for (const record of records) {
             segment.offsets.push(segment.sizeBytes);
             segment.sizeBytes += record.length;
@@ -289,13 +301,33 @@
         durableIndex = lastIndex;
     }
 
+    // A partial record before others would make the segment unreadable, and so would a file that starts in the middle of another one.
+    async function removeRemnants(): Promise<void> {
+        if (obsoleteFiles.size === 0 && longerFiles.size === 0) return;
+        for (const file of obsoleteFiles) await disk.remove(`${folder}/${file}`);
+        for (const segment of longerFiles) {
+            await disk.truncate(`${folder}/${segment.file}`, segment.sizeBytes);
+            await disk.sync(`${folder}/${segment.file}`);
+        }
+        await disk.syncFolder(folder);
+        obsoleteFiles.clear();
+        longerFiles.clear();
+    }
+
+    function removeSegment(segment: Segment): void {
+        obsoleteFiles.add(segment.file);
+        longerFiles.delete(segment);
+    }
+
     async function getWritableSegment(nextIndex: number): Promise<Segment> {
         const lastSegment = segments.at(-1);
         if (lastSegment !== undefined && lastSegment.sizeBytes < maxSegmentBytes) return lastSegment;
         const newSegment: Segment = { file: getSegmentName(nextIndex), firstIndex: nextIndex, offsets: [], sizeBytes: 0 };
+        obsoleteFiles.add(newSegment.file);
         await disk.write(`${folder}/${newSegment.file}`, new Uint8Array());
         await disk.sync(`${folder}/${newSegment.file}`);
         await disk.syncFolder(folder);
+        obsoleteFiles.delete(newSegment.file);
         segments.push(newSegment);
         return newSegment;
     }
@@ -303,9 +335,8 @@
     async function truncateFrom(index: number): Promise<void> {
         await flush();
         entries = entries.filter(({ entry }) => entry.index < index);
-        while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) {
-            await disk.remove(`${folder}/${segments.pop()!.file}`);
-        }
+        // The last files go first, so that an interruption leaves no gap.
+        while (segments.length > 0 && segments.at(-1)!.firstIndex >= index) removeSegment(segments.pop()!);
         const lastSegment = segments.at(-1);
         if (lastSegment !== undefined && lastSegment.firstIndex + lastSegment.offsets.length > index) {
             lastSegment.sizeBytes = checkDefined(
@@ -313,11 +344,10 @@
                 "the segment must contain the first entry to remove",
             );
             lastSegment.offsets.length = index - lastSegment.firstIndex;
-            await disk.truncate(`${folder}/${lastSegment.file}`, lastSegment.sizeBytes);
-            await disk.sync(`${folder}/${lastSegment.file}`);
+            longerFiles.add(lastSegment);
         }
-        await disk.syncFolder(folder);
         durableIndex = Math.min(durableIndex, getLastIndex());
+        await removeRemnants();
     }
 
     async function removeOldSegments(retainedBytes: number): Promise<void> {
@@ -325,16 +355,17 @@
         const isCovered = (segment: Segment | undefined) => segment !== undefined && segment.firstIndex <= (snapshot?.index ?? 0) + 1;
         while (isCovered(segments[1]) && logBytes - segments[0]!.sizeBytes >= retainedBytes) {
             logBytes -= segments[0]!.sizeBytes;
-            await disk.remove(`${folder}/${segments.shift()!.file}`);
+            removeSegment(segments.shift()!);
         }
         const firstIndex = segments[0]?.firstIndex ?? 0;
         entries = entries.filter(({ entry }) => entry.index >= firstIndex);
+        await removeRemnants();
     }
 
     async function removeAllSegments(): Promise<void> {
         entries = [];
-        for (const segment of segments.splice(0)) await disk.remove(`${folder}/${segment.file}`);
-        await disk.syncFolder(folder);
+        for (const segment of segments.splice(0)) removeSegment(segment);
+        await removeRemnants();
     }
 
     function getLogBytes(): number {
@@ -342,11 +373,10 @@
     }
 
     async function readSegments(): Promise<void> {
-        const segmentNames = (await disk.list(folder)).filter(name => name.startsWith(segmentPrefix));
-        for (const [position, file] of segmentNames.entries()) {
+        const files = await readSegmentFiles();
+        for (const [position, { file, data }] of files.entries()) {
             if (segments.length > 0 && getFirstIndex(file) !== getNextIndex(segments.at(-1)!)) await removeSegmentsBeforeGap(file);
-            const data = Buffer.from(checkDefined(await disk.read(`${folder}/${file}`), "a listed segment must be readable"));
-            await readSegment(file, data, position === segmentNames.length - 1);
+            await readSegment(file, data, position === files.length - 1);
         }
         const snapshotIndex = snapshot?.index ?? 0;
         if (entries.length > 0 && entries[0]!.entry.index > snapshotIndex + 1) {
@@ -355,6 +385,17 @@
         if (segments.length > 0 && !isContinuationOfSnapshot()) await removeAllSegments();
     }
 
+    // Removes empty files: the segment before may have grown past the start of a file that was created while the disk was full.
+    async function readSegmentFiles(): Promise<readonly SegmentFile[]> {
+        const files: SegmentFile[] = [];
+        for (const file of (await disk.list(folder)).filter(name => name.startsWith(segmentPrefix))) {
+            const data = Buffer.from(checkDefined(await disk.read(`${folder}/${file}`), "a listed segment must be readable"));
+            if (data.length > 0) files.push({ file, data });
+            else await disk.remove(`${folder}/${file}`);
+        }
+        return files;
+    }
+
     // After a loss of power, a removed segment can be there again although a later one is gone.
     async function removeSegmentsBeforeGap(nextFile: string): Promise<void> {
         if (getFirstIndex(nextFile) > (snapshot?.index ?? 0) + 1) {
--- a/src/standins/fakeDisk.ts
+++ b/src/standins/fakeDisk.ts
@@ -18,6 +18,10 @@
     getSizeBytes(file: string): number;
     /** While true, appends, writes and syncs fail as on a full disk. */
     setFull(isFull: boolean): void;
+    /** Lets `count` operations that change the disk fail, after the next `skipped` ones. A failed append has written a part of its data. */
+    failOperations(skipped: number, count: number): void;
+    /** Number of operations that have changed the disk or failed to. */
+    getOperationCount(): number;
 }
 
 interface Inode {
@@ -30,6 +34,8 @@
     let files = new Map<string, Inode>();
     let durableFiles = new Map<string, Inode>();
     let isFull = false;
+    let operationCount = 0;
+    let failingOperations = { first: Infinity, end: Infinity };
 
     return {
         createDisk,
@@ -56,6 +62,10 @@
         setFull(value) {
             isFull = value;
         },
+        failOperations(skipped, count) {
+            failingOperations = { first: operationCount + skipped, end: operationCount + skipped + count };
+        },
+        getOperationCount: () => operationCount,
     };
 
     function createDisk(isAlive: () => boolean): Disk {
@@ -63,8 +73,13 @@
         const guard = async (): Promise<void> => {
             if (!isAlive()) await new Promise<never>(() => undefined);
         };
-        const guardWrite = async (): Promise<void> => {
+        const guardChange = async (): Promise<void> => {
             await guard();
+            const operation = operationCount++;
+            if (operation >= failingOperations.first && operation < failingOperations.end) throw new Error("input/output error");
+        };
+        const guardWrite = async (): Promise<void> => {
+            await guardChange();
             if (isFull) throw new Error("no space left on device");
         };
         const getInode = (file: string): Inode => {
@@ -84,8 +99,15 @@
                 return inode === undefined ? undefined : Buffer.from(inode.data);
             },
             async append(file, data) {
-                await guardWrite();
                 const inode = files.get(file) ?? { data: Buffer.alloc(0), syncedBytes: 0 };
+                try {
+                    await guardWrite();
+                }
+                catch (error) {
+                    const writtenBytes = isFull ? 0 : Math.floor(random() * data.length);
+                    inode.data = Buffer.concat([inode.data, data.subarray(0, writtenBytes)]);
+                    throw error;
+                }
                 inode.data = Buffer.concat([inode.data, data]);
                 files.set(file, inode);
             },
@@ -94,18 +116,18 @@
                 files.set(file, { data: Buffer.from(data), syncedBytes: 0 });
             },
             async truncate(file, sizeBytes) {
-                await guard();
+                await guardChange();
                 const inode = getInode(file);
                 inode.data = inode.data.subarray(0, sizeBytes);
                 inode.syncedBytes = Math.min(inode.syncedBytes, sizeBytes);
             },
             async rename(from, to) {
-                await guard();
+                await guardChange();
                 files.set(to, getInode(from));
                 files.delete(from);
             },
             async remove(file) {
-                await guard();
+                await guardChange();
                 files.delete(file);
             },
             async sync(file) {
@@ -113,7 +135,7 @@
                 getInode(file).syncedBytes = getInode(file).data.length;
             },
             async syncFolder(folder) {
-                await guard();
+                await guardChange();
                 const isInFolder = (file: string) => file.startsWith(`${folder}/`);
                 const outside = [...durableFiles].filter(([file]) => !isInFolder(file));
                 durableFiles = new Map([...outside, ...[...files].filter(([file]) => isInFolder(file))]);
