End a disk failure of a voter by a write of its own

Cause: a failed write set hasDiskFailed, and only an append of a leader cleared it; a voter that bears it neither campaigns nor votes. When the leader's disk filled before the last full one had heard of the leader, two of three bore it, nobody could lead, and nothing ended it. Change: the voter writes its hard state again each half election timeout until that succeeds. A heartbeat without entries, which writes nothing, no longer clears it. A membership entry whose append fails no longer counts.

--- a/src/control/log/follower.ts
+++ b/src/control/log/follower.ts
@@ -34,10 +34,10 @@
             await appendMissingEntries(request.entries);
         }
         catch (error) {
+            state.membership = getLatestMembership(store);
             core.handleDiskError(error);
             throw error;
         }
-        state.hasDiskFailed = false;
         const matchIndex = request.previousIndex + request.entries.length;
         core.advanceCommit(Math.min(request.commitIndex, matchIndex));
         return { term: request.term, isAppended: true, index: matchIndex };
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -10,6 +10,7 @@
 import { callWithTimeout, createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import { createControlClock } from "./controlClock.js";
+import { runDiskCheck } from "./diskCheck.js";
 import { createElection } from "./election.js";
 import { createFollower } from "./follower.js";
 import { getLatestMembership, getMembershipAt } from "./members.js";
@@ -96,6 +97,7 @@
         start() {
             void applyCommittedEntries();
             void election.run();
+            void runDiskCheck(core);
         },
         stop() {
             stopping.abort();
@@ -207,6 +209,7 @@
             replication?.updateCommit();
         }
         catch (error) {
+            state.membership = getLatestMembership(store);
             handleDiskError(error);
         }
     }
--- a/src/control/log/replicaTypes.ts
+++ b/src/control/log/replicaTypes.ts
@@ -114,7 +114,7 @@
     readonly membership: Membership;
     /** True while this replica is the leader or has recently heard from the leader. */
     readonly isConnected: boolean;
-    /** True from a disk error until an append from the leader succeeds. Meanwhile this replica neither votes nor campaigns. */
+    /** True from a disk error until a write succeeds. Meanwhile this replica neither votes nor campaigns. */
     readonly hasDiskFailed: boolean;
 }
 
