Ask control about each stream that is taken up again, and refuse it without a majority's answers

Cause: an entry answered by itself while control's last word was at most 2.5 s old and it knew one version only, and also when no control VM answered. An entry that was cut off or frozen while backend servers of a new version joined thus went on at the old version with streams that had begun at the new one. A server that had started again under its own name at another version was taken for the one before. Change: the entry always asks; the stream goes on where a majority's answers say it began, or at the only version that entry and all of a majority know; otherwise it is refused as not run. The answers name the servers' present versions while there are several, and servers of another version are left out, also when a stream goes on in the same answer. Control records versions when it learns them, not each 0.5 s. Ruled out: a shorter age of knowledge (a cut of 0.7 s failed too), timestamps of the question instead of the answer (a new version can join right after it). The test that nothing is asked while one version serves was wrong in that; it now checks that nothing is told, that new streams ask nothing, and that each continued stream asks each control VM once.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -108,7 +108,7 @@
         countVoters: () => getVoters(replica.getStatus().membership).length,
         isConnected: () => replica.getStatus().isConnected,
     });
-    const streamOrigins = createStreamOriginTable(directory.versions);
+    const streamOrigins = createStreamOriginTable(directory.versions, directory.list);
     const group = createMembershipManager(host, { replica, self: options.self, ...options.group });
     replica.start();
     tasks.start();
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -31,6 +31,7 @@
     /** Merges a heartbeat into the directory. Returns true if the heartbeat may be acknowledged. */
     recordHeartbeat(record: BackendServerRecord): Promise<boolean>;
     get(backendServer: string): BackendServerRecord | undefined;
+    list(): readonly BackendServerRecord[];
     readonly versions: VersionHistory;
     /** Merges the records and watchers that another control VM pushed. */
     spread(message: DirectoryGossip): { readonly incarnation: string; };
@@ -81,7 +82,10 @@
             const previous = table.get(record.backendServer);
             const outcome = table.merge(record, host.clock.nowMs());
             if (outcome === "ignored") return isKnownLeaving(record) ? waitForMajority(record) : true;
-            if (outcome === "changed") reportChange(record, previous);
+            if (outcome === "changed") {
+                versions.observe([record], host.clock.nowMs());
+                reportChange(record, previous);
+            }
             for (const peer of peers.values()) {
                 peer.pending.set(record.backendServer, record);
                 if (outcome === "changed") peer.pushRequested.notify();
@@ -89,16 +93,20 @@
             return record.state === "ready" ? true : waitForMajority(record);
         },
         get: table.get,
+        list: () => table.listSince(0),
         spread(message) {
-            let hasChanged = false;
+            const changed: BackendServerRecord[] = [];
             for (const item of message.servers) {
                 const check = checkBackendServerRecord(item);
                 if (check.kind === "invalid") {
                     log.warn("A backend server record of another control VM is invalid.", { problem: check.problem });
                 }
-                else if (table.merge(check.record, host.clock.nowMs()) === "changed") hasChanged = true;
+                else if (table.merge(check.record, host.clock.nowMs()) === "changed") changed.push(check.record);
+            }
+            if (changed.length > 0) {
+                versions.observe(changed, host.clock.nowMs());
+                tableChanged.notify();
             }
-            if (hasChanged) tableChanged.notify();
             watchers.addRemote(message.watchers, host.clock.nowMs());
             return { incarnation };
         },
--- a/src/control/streamOrigins.ts
+++ b/src/control/streamOrigins.ts
@@ -3,6 +3,7 @@
  * take its stream up at servers of the version that began it. An entry tells all control VMs and relies on a majority.
  */
 import type { OriginReply, OriginRequest, StreamOriginRecord } from "../kernel/contracts.js";
+import type { BackendServerRecord } from "../kernel/directory.js";
 import type { VersionHistory } from "../kernel/versionHistory.js";
 
 /** Origins known to one control VM. */
@@ -20,7 +21,10 @@
 const maxOrigins = 100_000;
 
 /** Creates an empty table. */
-export function createStreamOriginTable(versions: VersionHistory): StreamOriginTable {
+export function createStreamOriginTable(
+    versions: VersionHistory,
+    listServers: () => readonly BackendServerRecord[],
+): StreamOriginTable {
     /** By request id, in the order of recording. */
     const origins = new Map<string, KnownOrigin>();
     return {
@@ -34,14 +38,22 @@
         find({ requestId, pool, windowMs }, nowMs) {
             deleteOld(nowMs);
             const origin = requestId === undefined ? undefined : origins.get(requestId);
+            const versionsSince = versions.listVersionsSince(pool, nowMs - windowMs);
             return {
                 origin: origin === undefined ? undefined : { pool: origin.pool, softwareVersion: origin.softwareVersion },
                 isWindowKnown: versions.isKnownSince(nowMs - windowMs),
                 versionBefore: versions.getOnlyVersionAt(pool, nowMs - windowMs),
+                versionsSince,
+                versionByServer: versionsSince.length > 1 ? getVersionByServer(pool) : {},
             };
         },
     };
 
+    function getVersionByServer(pool: string): Readonly<Record<string, string>> {
+        const servers = listServers().filter(server => server.pool === pool && server.state !== "gone");
+        return Object.fromEntries(servers.map(server => [server.backendServer, server.softwareVersion]));
+    }
+
     function deleteOld(nowMs: number): void {
         for (const [requestId, { recordedAtMs }] of origins) {
             if (recordedAtMs >= nowMs - originRetentionMs && origins.size <= maxOrigins) return;
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -33,7 +33,7 @@
     readonly serverNotices: ServerNotices;
     readonly loadExchange: Pick<LoadExchange, "recordDispatch" | "recordLimitChange">;
     readonly retryWindow: RetryWindow;
-    readonly streamOrigins: Pick<StreamOrigins, "record">;
+    readonly streamOrigins: Pick<StreamOrigins, "record" | "confirm">;
     readonly crashGuard: CrashGuard;
     readonly log: Logger;
     /** Headers that are added to every answer. */
@@ -73,6 +73,8 @@
     streamContentType: string | undefined;
     /** Software version that the stream goes on with. Undefined until its first event. */
     softwareVersion: string | undefined;
+    /** Servers that have another version than their records say. */
+    otherServers: ReadonlySet<string> | undefined;
     /** Resolves when the first event of a stream may be delivered. */
     originRecorded: Promise<void> | undefined;
     /** Last complete error answer, which is returned when no later attempt succeeds and no stream has begun. */
@@ -103,6 +105,7 @@
         lastEventId: undefined,
         streamContentType: undefined,
         softwareVersion: call.softwareVersion,
+        otherServers: call.otherServers,
         originRecorded: undefined,
         failedAnswer: undefined,
         verdict: createVerdict("notRun", "noBackendServer", undefined, getRetryAfterMs()),
@@ -121,6 +124,7 @@
             progress.verdict = createVerdict("notRun", "heldBack", undefined, heldBackMs);
             break;
         }
+        await confirmVersion();
         const placement = choosePlacementForCall();
         if (placement === undefined) break;
         const outcome = await makeAttempt(placement);
@@ -146,6 +150,13 @@
     if (response.hasStarted) response.abort();
     return createResult(toFinalVerdict());
 
+    // Before a stream goes on in the same answer, control tells which servers have started again at another version.
+    async function confirmVersion(): Promise<void> {
+        if (progress.deliveredEvents === 0 || progress.softwareVersion === undefined) return;
+        const { softwareVersion } = progress;
+        progress.otherServers = (await options.streamOrigins.confirm({ pool: call.pool, softwareVersion })).otherServers;
+    }
+
     function choosePlacementForCall(): Placement | undefined {
         const nowMs = host.clock.nowMs();
         const restrictions = { limits: options.serverLimits, notices: options.serverNotices };
--- a/src/entry/direct/serverChoice.ts
+++ b/src/entry/direct/serverChoice.ts
@@ -10,6 +10,8 @@
 export interface ServerQuery {
     /** Software version at which the stream began that the request goes on with. Absent if any version will do. */
     readonly softwareVersion?: string;
+    /** Servers that have another version than their records say. */
+    readonly otherServers?: ReadonlySet<string>;
     readonly triedServers: ReadonlySet<string>;
 }
 
@@ -36,8 +38,10 @@
     { limits, notices }: ServerRestrictions,
     nowMs: number,
 ): ServerChoice {
-    const { softwareVersion, triedServers } = query;
-    const fitting = pool.filter(server => softwareVersion === undefined || server.softwareVersion === softwareVersion);
+    const { softwareVersion, otherServers, triedServers } = query;
+    const hasVersion = (server: BackendServerRecord) =>
+        server.softwareVersion === softwareVersion && otherServers?.has(server.backendServer) !== true;
+    const fitting = pool.filter(server => softwareVersion === undefined || hasVersion(server));
     if (fitting.length === 0 && softwareVersion !== undefined) return { kind: "versionGone" };
     const untried = fitting.filter(server => !triedServers.has(server.backendServer));
     const open = untried.filter(server => limits.getWaitMs(server.backendServer, nowMs) === 0 && notices.getWaitMs(server, nowMs) === 0);
--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -5,9 +5,12 @@
  * While one version only has served for longer than any caller takes a stream up again, nothing needs to be told. Otherwise an entry tells
  * all control VMs where a stream is about to begin, and holds its first event until a majority has answered. Thus a stream that nobody
  * knows began before the second version was there.
+ *
+ * An entry that knows one version only may have been out of touch while another joined, so it always asks control about a stream that it
+ * did not begin itself. Without the answers of a majority the stream is refused.
  */
 import { maxSharedIdLength } from "../../kernel/contracts.js";
-import type { StreamOriginRecord } from "../../kernel/contracts.js";
+import type { OriginReply, StreamOriginRecord } from "../../kernel/contracts.js";
 import type { ControlClient } from "../../kernel/controlClient.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { Host } from "../../kernel/host.js";
@@ -17,6 +20,12 @@
 /** The pool and the version of a stream. */
 export type StreamOrigin = Omit<StreamOriginRecord, "requestId">;
 
+/** Where a stream may go on. */
+export interface StreamContinuation extends StreamOrigin {
+    /** Backend servers that control knows to have another version, whatever this entry knows of them. */
+    readonly otherServers: ReadonlySet<string>;
+}
+
 /** Origins of streams. */
 export interface StreamOrigins {
     /** Takes over the records that control has just sent or confirmed. */
@@ -26,8 +35,10 @@
     setWindow(windowMs: number): void;
     /** Records where a stream is about to begin. Resolves once the record outlives this entry, or cannot be made to in time. */
     record(requestId: string, origin: StreamOrigin): Promise<void>;
-    /** Returns where the stream began that a request goes on with. Undefined if that cannot be told. */
-    resolve(requestId: string | undefined, pool: string): Promise<StreamOrigin | undefined>;
+    /** Returns where the stream may go on that a request goes on with. Undefined if that cannot be told. */
+    resolve(requestId: string | undefined, pool: string): Promise<StreamContinuation | undefined>;
+    /** Returns where a stream that this entry began may go on. */
+    confirm(origin: StreamOrigin): Promise<StreamContinuation>;
 }
 
 /** Origins of one dispatch after the other are told together. */
@@ -35,8 +46,6 @@
 const callTimeoutMs = 350;
 /** The first event of a stream is held for no longer than this. */
 const maxHoldMs = 100;
-/** Knowledge that control has not confirmed for this time may lack a new version. */
-const staleMs = 2_500;
 /** Interval at which known servers count as still being in service. */
 const observeIntervalMs = 1_000;
 const maxOwnOrigins = 20_000;
@@ -89,13 +98,9 @@
         },
         async resolve(requestId, pool) {
             const own = requestId === undefined ? undefined : ownOrigins.get(requestId);
-            if (own !== undefined) return own;
-            const nowMs = host.clock.nowMs();
-            const onlyVersion = versions.getOnlyVersionSince(pool, nowMs - windowMs);
-            const onlyOrigin = onlyVersion === undefined ? undefined : { pool, softwareVersion: onlyVersion };
-            const isFresh = nowMs - confirmedAtMs <= staleMs;
-            return onlyOrigin !== undefined && isFresh ? onlyOrigin : askControl(requestId, pool, onlyOrigin);
+            return own === undefined ? askControl(requestId, pool) : confirm(own);
         },
+        confirm,
     };
 
     function startBatch(): Batch {
@@ -111,56 +116,100 @@
             (client, signal) => client.recordOrigins.mutate({ origins: [...origins] }, { signal }),
             callTimeoutMs,
         );
-        const answers = await waitForMajority(calls, sleep(host.timers, maxHoldMs));
-        if (answers * 2 > calls.length) return;
+        let answers = 0;
+        const isTold = () => answers * 2 > calls.length;
+        const told = waitForAnswers(calls, () => {
+            answers++;
+            return isTold();
+        });
+        await Promise.race([told, sleep(host.timers, maxHoldMs)]);
+        if (isTold()) return;
         log.warn("No majority of the control VMs knows where streams began.", { streams: origins.length, answers, members: calls.length });
     }
 
-    async function askControl(
+    async function askControl(requestId: string | undefined, pool: string): Promise<StreamContinuation | undefined> {
+        const sharedId = requestId !== undefined && isSharedId(requestId) ? requestId : undefined;
+        const onlyVersion = versions.getOnlyVersionSince(pool, host.clock.nowMs() - windowMs);
+        const decide = (replies: readonly OriginReply[], memberCount: number) => decideOrigin({ replies, memberCount, pool, onlyVersion });
+        const { replies, memberCount } = await findOrigin(sharedId, pool, (...evidence) => decide(...evidence) !== undefined);
+        const origin = decide(replies, memberCount);
+        if (origin !== undefined) return createContinuation(origin, replies);
+        log.info("It is not known where a stream began.", { requestId, pool, replies: replies.length, onlyVersion });
+        return undefined;
+    }
+
+    // An entry that no control VM answers goes on with its own streams by what it knows of the backend servers.
+    async function confirm(origin: StreamOrigin): Promise<StreamContinuation> {
+        const { replies } = await findOrigin(undefined, origin.pool, (replies, memberCount) => replies.length * 2 > memberCount);
+        return createContinuation(origin, replies);
+    }
+
+    /** Asks all control VMs, until the answers are enough or no more come. */
+    async function findOrigin(
         requestId: string | undefined,
         pool: string,
-        onlyOrigin: StreamOrigin | undefined,
-    ): Promise<StreamOrigin | undefined> {
-        const sharedId = requestId !== undefined && isSharedId(requestId) ? requestId : undefined;
+        isEnough: (replies: readonly OriginReply[], memberCount: number) => boolean,
+    ): Promise<{ readonly replies: readonly OriginReply[]; readonly memberCount: number; }> {
         const calls = control.callEachMember(
-            (client, signal) => client.findOrigin.query({ requestId: sharedId, pool, windowMs }, { signal }),
+            (client, signal) => client.findOrigin.query({ requestId, pool, windowMs }, { signal }),
             callTimeoutMs,
         );
-        const replies = (await Promise.all(calls)).filter(reply => reply !== undefined);
-        const known = replies.find(reply => reply.origin !== undefined)?.origin;
-        if (known !== undefined) return known;
-        if (replies.length === 0 && onlyOrigin !== undefined) return onlyOrigin;
-        // Each recorded stream is known to a majority, so a majority that knows all that time tells that this one was not recorded.
-        const witnesses = replies.filter(reply => reply.isWindowKnown);
-        const versionsBefore = new Set(witnesses.map(reply => reply.versionBefore));
-        const [softwareVersion] = versionsBefore;
-        const isTold = witnesses.length * 2 > calls.length && versionsBefore.size === 1 && softwareVersion !== undefined;
-        log.info("A stream of unknown origin is taken up again.", {
-            requestId,
-            pool,
-            softwareVersion: isTold ? softwareVersion : undefined,
-            replies: replies.length,
-            witnesses: witnesses.length,
+        const replies: OriginReply[] = [];
+        await waitForAnswers(calls, reply => {
+            replies.push(reply);
+            return isEnough(replies, calls.length);
         });
-        return isTold ? { pool, softwareVersion } : undefined;
+        return { replies: [...replies], memberCount: calls.length };
     }
 }
 
+function createContinuation(origin: StreamOrigin, replies: readonly OriginReply[]): StreamContinuation {
+    const hasOtherVersion = ([, version]: readonly [string, string]) => version !== origin.softwareVersion;
+    const others = replies.flatMap(reply => Object.entries(reply.versionByServer)).filter(hasOtherVersion);
+    return { pool: origin.pool, softwareVersion: origin.softwareVersion, otherServers: new Set(others.map(([server]) => server)) };
+}
+
+/** What control VMs have answered so far about a stream, and what the entry knows itself. */
+export interface OriginEvidence {
+    readonly replies: readonly OriginReply[];
+    /** Number of control VMs, also of those that have not answered. */
+    readonly memberCount: number;
+    readonly pool: string;
+    /** The only version that the entry has known in the pool for as long as any caller takes a stream up again. */
+    readonly onlyVersion: string | undefined;
+}
+
+/**
+ * Returns where a stream began, or undefined if that is not certain yet. Each recorded stream is known to a majority. So a stream that no
+ * VM of a majority knows was not recorded, if these VMs have run long enough to have been told, or know of no other version now.
+ */
+export function decideOrigin({ replies, memberCount, pool, onlyVersion }: OriginEvidence): StreamOrigin | undefined {
+    const known = replies.find(reply => reply.origin !== undefined)?.origin;
+    if (known !== undefined) return known;
+    const witnesses = replies.filter(reply => reply.isWindowKnown);
+    const [versionBefore, ...otherVersions] = new Set(witnesses.map(reply => reply.versionBefore));
+    const isMajority = (count: number) => count * 2 > memberCount;
+    if (isMajority(witnesses.length) && versionBefore !== undefined && otherVersions.length === 0) {
+        return { pool, softwareVersion: versionBefore };
+    }
+    const hasOtherVersion = replies.some(reply => reply.versionsSince.some(version => version !== onlyVersion));
+    if (onlyVersion === undefined || hasOtherVersion || !isMajority(replies.length)) return undefined;
+    return { pool, softwareVersion: onlyVersion };
+}
+
 function isSharedId(requestId: string): boolean {
     return requestId !== "" && requestId.length <= maxSharedIdLength;
 }
 
-/** Resolves to the number of answers, as soon as a majority has answered, all calls have ended or the time is over. */
-function waitForMajority(calls: readonly Promise<unknown>[], timeout: Promise<void>): Promise<number> {
+/** Resolves once `isEnough` returns true for an answer or all calls have ended. A call that failed has no answer. */
+function waitForAnswers<T>(calls: readonly Promise<T | undefined>[], isEnough: (answer: T) => boolean): Promise<void> {
     return new Promise(resolve => {
-        let answers = 0;
-        let ended = 0;
-        void timeout.then(() => resolve(answers));
+        let outstanding = calls.length;
+        if (outstanding === 0) resolve();
         for (const call of calls) {
-            void call.then(reply => {
-                ended++;
-                if (reply !== undefined) answers++;
-                if (answers * 2 > calls.length || ended === calls.length) resolve(answers);
+            void call.then(answer => {
+                outstanding--;
+                if ((answer !== undefined && isEnough(answer)) || outstanding === 0) resolve();
             });
         }
     });
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -109,6 +109,8 @@
     readonly pool: string;
     /** Software version at which the stream began that the request goes on with. */
     readonly softwareVersion?: string;
+    /** Backend servers that cannot go on with that stream, whatever their records say. */
+    readonly otherServers?: ReadonlySet<string>;
     readonly account?: ClientAccountObject;
     /** Digest of what makes two requests the same, without the attempt. */
     readonly fingerprint: string;
--- a/src/kernel/versionHistory.ts
+++ b/src/kernel/versionHistory.ts
@@ -9,6 +9,8 @@
     getOnlyVersionSince(pool: string, sinceMs: number): string | undefined;
     /** Returns the version that a pool had at a time. Undefined if there were several or if that time is not known. */
     getOnlyVersionAt(pool: string, atMs: number): string | undefined;
+    /** Returns the versions that a pool has had since then, as far as they were observed. */
+    listVersionsSince(pool: string, sinceMs: number): readonly string[];
     /** True if everything since then was observed. */
     isKnownSince(sinceMs: number): boolean;
 }
@@ -38,6 +40,7 @@
         },
         getOnlyVersionSince: (pool, sinceMs) => getOnly(pool, sinceMs, service => service.lastSeenAtMs >= sinceMs),
         getOnlyVersionAt: (pool, atMs) => getOnly(pool, atMs, service => service.firstSeenAtMs <= atMs && service.lastSeenAtMs >= atMs),
+        listVersionsSince: (pool, sinceMs) => listVersions(pool, service => service.lastSeenAtMs >= sinceMs),
         isKnownSince: sinceMs => knownSinceMs <= sinceMs,
     };
 
@@ -52,7 +55,11 @@
 
     function getOnly(pool: string, neededSinceMs: number, isCounted: (service: Service) => boolean): string | undefined {
         if (knownSinceMs > neededSinceMs) return undefined;
-        const counted = [...versionsByPool.get(pool) ?? []].filter(([, service]) => isCounted(service));
-        return counted.length === 1 ? counted[0]![0] : undefined;
+        const counted = listVersions(pool, isCounted);
+        return counted.length === 1 ? counted[0] : undefined;
+    }
+
+    function listVersions(pool: string, isCounted: (service: Service) => boolean): readonly string[] {
+        return [...versionsByPool.get(pool) ?? []].filter(([, service]) => isCounted(service)).map(([version]) => version);
     }
 }
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -86,7 +86,10 @@
                         },
                     },
                     serverNotices: createServerNotices(),
-                    streamOrigins: { record: () => Promise.resolve() },
+                    streamOrigins: {
+                        record: () => Promise.resolve(),
+                        confirm: origin => Promise.resolve({ ...origin, otherServers: new Set() }),
+                    },
                     serverLimits: {
                         ...limits,
                         recordAnswer(backendServer, limit, sentAtMs, nowMs) {
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -132,6 +132,67 @@
     }
 });
 
+interface OutOfStepCase {
+    readonly absence: string;
+    readonly begin: (fleet: DirectFleet, durationMs: number) => void;
+    readonly durationMs: number;
+}
+
+const cutOff = (fleet: DirectFleet): void => {
+    const ip = fleet.entries[1]!.vm.ip;
+    fleet.simulation.setPartition((from, to) => (from === ip) !== (to === ip));
+};
+const freeze = (fleet: DirectFleet, durationMs: number): void => fleet.entries[1]!.vm.freeze(durationMs);
+const outOfStepCases: readonly OutOfStepCase[] = [700, 2_000, 5_000, 9_000].flatMap(durationMs => [
+    { absence: "cut off", begin: cutOff, durationMs },
+    { absence: "frozen", begin: freeze, durationMs },
+]);
+
+for (const { absence, begin, durationMs } of outOfStepCases) {
+    test(`an entry that was ${absence} for ${durationMs} ms while a version joined joins no streams of two versions`, async t => {
+        const fleet = await createDirectFleet(91, { entries: 2, servers: 4 });
+        await keepAlive(fleet, windowMs + 5_000);
+        for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
+        begin(fleet, durationMs);
+        await fleet.simulation.advance(50);
+        for (const server of fleet.servers.slice(1)) {
+            server.version = "v2";
+            server.bornMs += 50_000;
+            server.sequence = 0;
+            await fleet.simulation.runUntil(fleet.heartbeat(server, 0));
+        }
+        await fleet.simulation.advance(200);
+        const ids = Array.from({ length: 8 }, (_, index) => `a${index}`);
+        for (const id of ids) void fleet.call(0, { path: "/resume/1", id, deadlineMs: 12_000 });
+        await keepAlive(fleet, durationMs - 250);
+        fleet.entries[0]!.vm.crash();
+        fleet.simulation.healPartition();
+        const results = await fleet.simulation.runUntil(
+            Promise.all(
+                ids.map(id => fleet.call(1, { path: "/resume/1", id: `b-${id}`, headers: { "last-event-id": "1", "resumes": id } })),
+            ),
+        );
+        for (const [index, id] of ids.entries()) {
+            const resumedAt = findRunner(fleet, `b-${id}`);
+            if (resumedAt !== undefined) t.equal(resumedAt.version, findRunner(fleet, id)?.version, id);
+            else t.equal(results[index]!.status, 503, id);
+        }
+    });
+}
+
+test("an entry that reaches no control VM refuses to go on with a stream, as not run", async t => {
+    const fleet = await createDirectFleet(92, { entries: 1 });
+    await keepAlive(fleet, windowMs + 5_000);
+    for (const control of fleet.controls) control.vm.crash();
+    for (const waitMs of [0, 2_000, 5_000]) {
+        await fleet.simulation.advance(waitMs);
+        const result = await resume(fleet, 0, `b${waitMs}`, "never-seen");
+        t.equal(result.status, 503);
+        t.match(result.text, "streamOriginUnknown");
+    }
+    t.same(fleet.servers.flatMap(server => server.runs), []);
+});
+
 test("a stream whose version has no server left is refused at once as not run", async t => {
     const fleet = await createMixedFleet(84, ["v1", "v2"]);
     const [older, newer] = fleet.servers;
@@ -183,20 +244,22 @@
     t.same(fleet.servers.flatMap(server => server.runs), []);
 });
 
-test("while one version only is in service nothing is told to control, and every stream goes on", async t => {
+test("while one version only is in service no stream is told to control, and every stream goes on", async t => {
     const fleet = await createDirectFleet(86, { entries: 2 });
     await keepAlive(fleet, windowMs);
-    const calls = fleet.controls.map(control => control.process!.part.api);
     let told = 0;
-    for (const api of calls) {
+    let asked = 0;
+    for (const api of fleet.controls.map(control => control.process!.part.api)) {
         const { recordOrigins, findOrigin } = api;
         Object.assign(api, {
             recordOrigins: (message: Parameters<typeof recordOrigins>[0]) => (told++, recordOrigins(message)),
-            findOrigin: (request: Parameters<typeof findOrigin>[0]) => (told++, findOrigin(request)),
+            findOrigin: (request: Parameters<typeof findOrigin>[0]) => (asked++, findOrigin(request)),
         });
     }
     t.match(await fleet.simulation.runUntil(fleet.call(0, { path: "/resume/1", id: "a" })), { status: 200, isComplete: true });
+    t.equal(asked, 0, "a stream that begins asks nothing");
     t.match(await resume(fleet, 1, "b", "a"), { status: 200, isComplete: true });
     t.match(await resume(fleet, 1, "c", undefined), { status: 200, isComplete: true });
     t.equal(told, 0);
+    t.equal(asked, 6, "each stream that goes on asks each control VM once");
 });
