Try a quarantined request once after some seconds, instead of holding it back for an hour

Change: control grants one trial of a quarantined request in the whole fleet, 6 s after its last crash, then 30 s, then 10 min after. A trial reaches one backend server; an answer clears the request. Retry-After of the others names the next trial instead of the end of the hour. Tests: a sound request is served everywhere after its trial; one that crashes servers reaches 2 of them in 50 s of trials, sent 8 times a second.

--- a/src/control/plugins/quarantine.ts
+++ b/src/control/plugins/quarantine.ts
@@ -37,9 +37,17 @@
     readonly fingerprint: string;
     readonly crashes: readonly Crash[];
     readonly expiresAtMs: number;
+    /** Number of trials so far, and time from which the next one is granted. Absent in snapshots of earlier versions. */
+    readonly trials?: number;
+    readonly trialAtMs?: number;
 }
 
 const quarantineMs = 3_600_000;
+/**
+ * Time before the first, second and each further trial. A sound request that only ran beside a crashing one is served again after the first;
+ * one that does crash backend servers reaches few more of them.
+ */
+const trialDelaysMs = [6_000, 30_000, 600_000] as const;
 /** Limits the size of snapshots and of what is published. */
 const maxSuspects = 2_000;
 const maxPublishedSuspects = 200;
@@ -77,6 +85,7 @@
                     return { suspicions };
                 },
                 "quarantine.exonerate": ({ fingerprint }) => publishAfter(suspects.delete(fingerprint)),
+                "quarantine.requestTrial": ({ fingerprint }, { nowMs }) => ({ isGranted: grantTrial(fingerprint, nowMs) }),
                 "quarantine.exonerateParts": ({ partIds }) => publishAfter(parts.clear(partIds)),
                 "quarantine.clear": ({ fingerprint, actor }, context) => {
                     const { isKnown } = publishAfter(suspects.delete(fingerprint) || parts.clear([fingerprint]));
@@ -122,15 +131,33 @@
 
     function addCrashToSuspect(report: CrashReport, nowMs: number): void {
         const { fingerprint, backendServer, incarnation, failureDomain, isSolo, ageMs = 0 } = report;
-        const knownCrashes = suspects.get(fingerprint)?.crashes ?? [];
+        const known = suspects.get(fingerprint);
+        const knownCrashes = known?.crashes ?? [];
         // Several entries may report the same crash.
         if (knownCrashes.some(crash => crash.backendServer === backendServer && crash.incarnation === incarnation)) return;
         const crashes = [...knownCrashes, { backendServer, incarnation, failureDomain, isSolo, atMs: nowMs - ageMs }];
         suspects.delete(fingerprint);
-        suspects.set(fingerprint, { fingerprint, crashes, expiresAtMs: nowMs + quarantineMs });
+        const trials = known?.trials ?? 0;
+        suspects.set(fingerprint, {
+            fingerprint,
+            crashes,
+            expiresAtMs: nowMs + quarantineMs,
+            trials,
+            trialAtMs: nowMs + getTrialDelayMs(trials),
+        });
         deleteOldestSuspects();
     }
 
+    // One trial at a time in the whole fleet: the next is due only after another delay, whatever becomes of this one.
+    function grantTrial(fingerprint: string, nowMs: number): boolean {
+        const suspect = suspects.get(fingerprint);
+        if (suspect === undefined || getSuspicion(suspect) !== "quarantined" || nowMs < (suspect.trialAtMs ?? Infinity)) return false;
+        const trials = (suspect.trials ?? 0) + 1;
+        suspects.set(fingerprint, { ...suspect, trials, trialAtMs: nowMs + getTrialDelayMs(trials) });
+        publish();
+        return true;
+    }
+
     // The map is in the order of the last crash. Quarantined fingerprints are kept as long as there are others.
     function deleteOldestSuspects(): void {
         if (suspects.size <= maxSuspects) return;
@@ -145,6 +172,10 @@
     }
 }
 
+function getTrialDelayMs(trials: number): number {
+    return trialDelaysMs[trials] ?? trialDelaysMs.at(-1)!;
+}
+
 function getSuspicion(suspect: Suspect | undefined): Suspicion {
     if (suspect === undefined) return "clear";
     return countCrashes(suspect.crashes) >= quarantineCrashCount ? "quarantined" : "suspect";
@@ -156,5 +187,6 @@
         suspicion: getSuspicion(suspect),
         crashes: suspect.crashes.length,
         expiresAtMs: suspect.expiresAtMs,
+        trialAtMs: suspect.trialAtMs,
     };
 }
--- a/src/control/stateMachine.ts
+++ b/src/control/stateMachine.ts
@@ -35,6 +35,7 @@
     "fleet.drain": "short",
     "quarantine.report": "short",
     "quarantine.exonerate": "none",
+    "quarantine.requestTrial": "short",
     "quarantine.exonerateParts": "none",
     "quarantine.clear": "short",
     "orders.plan": "none",
--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -22,12 +22,21 @@
 /** Options of a guard. */
 export interface CrashGuardOptions {
     readonly control: ControlClient;
-    readonly configuration: Pick<NodeConfiguration, "getQuarantineLeftMs" | "hasCrashRecord" | "getSuspectParts">;
+    readonly configuration: Pick<NodeConfiguration, "getQuarantineLeftMs" | "getTrialLeftMs" | "hasCrashRecord" | "getSuspectParts">;
     readonly connections: Pick<BackendConnections, "canConnect">;
 }
 
+/** Whether a request may be sent. */
+export type Admission =
+    | { readonly kind: "admitted"; }
+    /** Control lets the request, which is quarantined, reach one backend server. */
+    | { readonly kind: "trial"; }
+    | { readonly kind: "heldBack"; readonly retryAfterMs: number; };
+
 /** Holds back requests that crash backend servers. */
 export interface CrashGuard {
+    /** Decides whether a request may be sent. Asks control for a trial if one is due. */
+    admit(call: DirectCall): Promise<Admission>;
     /** Time for which the request is held back. Undefined if it may be sent. */
     getHeldBackMs(call: DirectCall): number | undefined;
     /** Starts to watch the attempts of a request. */
@@ -61,6 +70,9 @@
 const maxOwnSuspects = 1_000;
 const maxOwnCrashes = 8;
 const clearTimeoutMs = 2_000;
+const trialTimeoutMs = 500;
+/** Time after which a caller may return while another request is on trial or the time of control is not certain. */
+const trialRetryMs = 1_000;
 /** Long enough that no two requests share one, and short because all suspects are published to all entries. */
 const fingerprintLength = 24;
 
@@ -88,7 +100,21 @@
     /** Fingerprints and parts that control is being told to clear. */
     const clearing = new Set<string>();
 
-    return { getHeldBackMs, watch, start: reporter.start };
+    return { admit, getHeldBackMs, watch, start: reporter.start };
+
+    async function admit(call: DirectCall): Promise<Admission> {
+        const { fingerprint } = call;
+        const partsHeldBackMs = suspectParts.getHeldBackMs(listSharedParts(call));
+        if (partsHeldBackMs !== undefined) return { kind: "heldBack", retryAfterMs: partsHeldBackMs };
+        const leftMs = getQuarantineLeftMs(fingerprint);
+        if (leftMs === undefined) return { kind: "admitted" };
+        const trialLeftMs = configuration.getTrialLeftMs(fingerprint, getControlTimeMs()) ?? leftMs;
+        if (trialLeftMs > 0) return { kind: "heldBack", retryAfterMs: Math.min(leftMs, trialLeftMs) };
+        const outcome = await control.submit("quarantine.requestTrial", { fingerprint }, { timeoutMs: trialTimeoutMs });
+        if (outcome.kind !== "done" || !outcome.result.isGranted) return { kind: "heldBack", retryAfterMs: trialRetryMs };
+        log.info("A quarantined request is tried once.", { requestId: call.head.requestId, fingerprint });
+        return { kind: "trial" };
+    }
 
     function getHeldBackMs(call: DirectCall): number | undefined {
         return getQuarantineLeftMs(call.fingerprint) ?? suspectParts.getHeldBackMs(listSharedParts(call));
@@ -96,8 +122,11 @@
 
     function getQuarantineLeftMs(fingerprint: string): number | undefined {
         if (!isUnderSuspicion(fingerprint)) return undefined;
-        const controlTimeMs = Math.min(control.time.getUpperBoundMs(), Number.MAX_VALUE);
-        return configuration.getQuarantineLeftMs(fingerprint, controlTimeMs) ?? getOwnQuarantineLeftMs(fingerprint);
+        return configuration.getQuarantineLeftMs(fingerprint, getControlTimeMs()) ?? getOwnQuarantineLeftMs(fingerprint);
+    }
+
+    function getControlTimeMs(): number {
+        return Math.min(control.time.getUpperBoundMs(), Number.MAX_VALUE);
     }
 
     function isUnderSuspicion(fingerprint: string): boolean {
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -119,7 +119,7 @@
             progress.verdict = createVerdict("notRun", "overloaded", "No time is left for an attempt.");
             break;
         }
-        const heldBackMs = options.crashGuard.getHeldBackMs(call);
+        const heldBackMs = call.isTrial === true ? undefined : options.crashGuard.getHeldBackMs(call);
         if (heldBackMs !== undefined) {
             progress.verdict = createVerdict("notRun", "heldBack", undefined, heldBackMs);
             break;
@@ -272,7 +272,7 @@
         if (progress.dispatches >= maxDispatches) return false;
         if (progress.verdict.kind !== "notRun" && !isRepeatable(call.route)) return false;
         if (progress.possibleRuns >= call.route.maxAttempts) return false;
-        if (progress.brokenAttempts >= maxBrokenAttempts) return false;
+        if (progress.brokenAttempts >= (call.isTrial === true ? 1 : maxBrokenAttempts)) return false;
         // A stream that has started can be resumed at another server only when the id of its last event is known.
         if (progress.deliveredEvents > 0 && progress.lastEventId === undefined) return false;
         return !progress.hasReachedServer || options.retryWindow.tryAcquire(call.pool, nowMs);
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -296,13 +296,13 @@
     }
 
     async function serve(call: DirectCall, response: HttpResponse): Promise<void> {
-        const heldBackMs = crashGuard.getHeldBackMs(call);
-        if (heldBackMs !== undefined) refuse("heldBack", undefined, heldBackMs);
+        const admission = await crashGuard.admit(call);
+        if (admission.kind === "heldBack") refuse("heldBack", undefined, admission.retryAfterMs);
         const reservation = await reserve(call);
         const reservedAtMs = host.clock.nowMs();
         let delivery: DeliveryResult | undefined;
         try {
-            delivery = await deliver(host, call, response, {
+            delivery = await deliver(host, { ...call, isTrial: admission.kind === "trial" }, response, {
                 protocol,
                 connections: options.connections,
                 servers,
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -111,6 +111,8 @@
     readonly softwareVersion?: string;
     /** Backend servers that cannot go on with that stream, whatever their records say. */
     readonly otherServers?: ReadonlySet<string>;
+    /** True if the request is quarantined and may reach one backend server, to see whether it crashes it. */
+    readonly isTrial?: boolean;
     readonly account?: ClientAccountObject;
     /** Digest of what makes two requests the same, without the attempt. */
     readonly fingerprint: string;
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -3,7 +3,7 @@
 import { assert } from "../kernel/debug.js";
 import { getSha256 } from "../kernel/digest.js";
 import type { Host } from "../kernel/host.js";
-import type { ConfigurationDelta, ConfigurationView, SuspectPartView, Suspicion } from "../kernel/messages.js";
+import type { ConfigurationDelta, ConfigurationView, QuarantineView, SuspectPartView, Suspicion } from "../kernel/messages.js";
 import { createObjectIndex, getObjectKey, getSetDigest } from "../kernel/objects.js";
 import type { ClientAccountObject, ConfigurationObject, ObjectIndex, RouteObject } from "../kernel/objects.js";
 import { getErrorText, runPeriodically, sleep } from "../kernel/tasks.js";
@@ -23,6 +23,8 @@
     getSuspicion(fingerprint: string, controlTimeMs: number): Suspicion;
     /** Remaining time of the quarantine of a fingerprint. Undefined if it is not quarantined. */
     getQuarantineLeftMs(fingerprint: string, controlTimeMs: number): number | undefined;
+    /** Remaining time until one entry may run the quarantined request once. Undefined if that is not known. */
+    getTrialLeftMs(fingerprint: string, controlTimeMs: number): number | undefined;
     /** True if control holds crashes against the fingerprint, whether or not it is quarantined. */
     hasCrashRecord(fingerprint: string): boolean;
     /** Parts of prompts that may crash backend servers, by id. Times are in control time. */
@@ -66,7 +68,7 @@
     let accountsByDigest: ReadonlyMap<string, ClientAccountObject> = new Map();
     let routesByModel: ReadonlyMap<string, RouteObject> = new Map();
     let routesByService: ReadonlyMap<string, RouteObject> = new Map();
-    let suspicions: ReadonlyMap<string, { readonly suspicion: Suspicion; readonly expiresAtMs: number; }> = new Map();
+    let suspicions: ReadonlyMap<string, QuarantineView> = new Map();
     let suspects: ReadonlySet<string> = new Set();
     let suspectParts: ReadonlyMap<string, SuspectPartView> = new Map();
 
@@ -89,6 +91,10 @@
             const isQuarantined = record?.suspicion === "quarantined" && record.expiresAtMs >= controlTimeMs;
             return isQuarantined ? record.expiresAtMs - controlTimeMs : undefined;
         },
+        getTrialLeftMs(fingerprint, controlTimeMs) {
+            const trialAtMs = suspicions.get(fingerprint)?.trialAtMs;
+            return trialAtMs === undefined ? undefined : Math.max(0, trialAtMs - controlTimeMs);
+        },
         hasCrashRecord: fingerprint => suspicions.has(fingerprint) || suspects.has(fingerprint),
         getSuspectParts: () => suspectParts,
         start(signal) {
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -192,6 +192,8 @@
     readonly suspicion: Suspicion;
     readonly crashes: number;
     readonly expiresAtMs: number;
+    /** Time from which one entry may run the request once, to see whether it still crashes. Absent in replies of earlier versions. */
+    readonly trialAtMs?: number;
 }
 
 /** Record of an agent in control's fleet state. */
@@ -259,6 +261,8 @@
     "fleet.drain": z.object({ backendServer: boundedString, isDraining: z.boolean(), actor: boundedString }),
     "quarantine.report": z.object({ crashes: z.array(crashReportSchema).max(10_000) }),
     "quarantine.exonerate": z.object({ fingerprint: boundedString }),
+    /** Asks to run a quarantined request once. */
+    "quarantine.requestTrial": z.object({ fingerprint: boundedString }),
     "quarantine.exonerateParts": z.object({ partIds: z.array(boundedString).max(crashReportLimits.partIds) }),
     "quarantine.clear": z.object({ fingerprint: boundedString, actor: boundedString }),
     "orders.plan": z.object({}),
@@ -291,6 +295,7 @@
     readonly "fleet.drain": { readonly isKnown: boolean; };
     readonly "quarantine.report": { readonly suspicions: Readonly<Record<string, Suspicion>>; };
     readonly "quarantine.exonerate": { readonly isKnown: boolean; };
+    readonly "quarantine.requestTrial": { readonly isGranted: boolean; };
     readonly "quarantine.exonerateParts": { readonly isKnown: boolean; };
     readonly "quarantine.clear": { readonly isKnown: boolean; };
     readonly "orders.plan": { readonly planned: number; };
--- a/test/crashingRequests.test.ts
+++ b/test/crashingRequests.test.ts
@@ -120,6 +120,41 @@
     t.equal((await simulation.runUntil(fleet.call(0, { path: "/once/1", id: "d" }))).status, 200);
 });
 
+test("a sound request that is held back is tried once after some seconds, and served everywhere after its answer", async t => {
+    const fleet = await createDirectFleet(67, { entries: 2, servers: 6 });
+    const { simulation } = fleet;
+    crashOn(fleet, "/once/1");
+    for (let count = 0; count < 2; count++) {
+        t.equal((await simulation.runUntil(fleet.call(count, { path: "/once/1", id: `a${count}` }))).status, 502);
+        await simulation.advance(1_200);
+    }
+    for (const server of fleet.servers) server.behavior = sendCompleteAnswer;
+    const held = await simulation.runUntil(fleet.call(0, { path: "/once/1", id: "b" }));
+    t.equal(held.status, 503);
+    const retryAfterMs = Number(held.headers["retry-after"]) * 1_000;
+    t.ok(retryAfterMs < 7_000, `the caller may return after ${retryAfterMs} ms`);
+    await simulation.advance(retryAfterMs + 200);
+    t.equal((await simulation.runUntil(fleet.call(0, { path: "/once/1", id: "c" }))).status, 200);
+    await simulation.advance(500);
+    for (const entry of [0, 1]) t.equal((await simulation.runUntil(fleet.call(entry, { path: "/once/1", id: `d${entry}` }))).status, 200);
+});
+
+test("a request that crashes each backend server reaches one server in each trial, and few trials are made", async t => {
+    const fleet = await createDirectFleet(68, { entries: 3, servers: 6 });
+    const { simulation } = fleet;
+    const crashes = crashOn(fleet, "/safe/bad");
+    for (let count = 0; count < 200; count++) {
+        void fleet.call(count % 3, { path: "/safe/bad", id: `a${count}` });
+        void fleet.call((count + 1) % 3, { path: "/safe/bad", id: `b${count}` });
+        await simulation.advance(250);
+        if (count % 4 === 0) {
+            for (const server of fleet.servers) if (!server.isDown) await simulation.runUntil(fleet.heartbeat(server, 0));
+        }
+    }
+    const late = crashes.filter(atMs => atMs > crashes[0]! + contactMs);
+    t.equal(late.length, 2, `crashes at ${crashes.map(Math.round).join(" ")}`);
+});
+
 test("an entry that cannot reach control holds a request back by itself and reports its crashes later", async t => {
     const fleet = await createDirectFleet(64, { entries: 2, servers: 5 });
     const { simulation } = fleet;
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -100,6 +100,7 @@
                     loadExchange: { recordDispatch: () => undefined, recordLimitChange: () => undefined },
                     retryWindow,
                     crashGuard: {
+                        admit: () => Promise.resolve({ kind: "admitted" }),
                         getHeldBackMs: () => undefined,
                         watch: () => ({ recordBreak: () => undefined, end: () => undefined }),
                         start: () => undefined,
