Let what a starving entry costs control no longer grow with the square of the entries

Change: the ledger keeps the sums of each budget; an entry that has answered a recall is not asked again for 300 ms; one log line a second and budget; an entry with waiting requests calls at most each 40 ms, also while new requests start to wait.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -5,6 +5,7 @@
 import { replaceCapacityTables } from "./capacityPage.js";
 import { measureDecisions } from "./decisionBench.js";
 import { measureHistory } from "./historyBench.js";
+import { measureLedger } from "./ledgerBench.js";
 import { measureLog } from "./logBench.js";
 import { measureOverhead } from "./overheadBench.js";
 import { measureSlopes } from "./slopes.js";
@@ -12,6 +13,7 @@
 const benchmarks = {
     decisions: measureDecisions,
     history: () => measureHistory(),
+    ledger: measureLedger,
     log: measureLog,
     overhead: measureOverhead,
     slopes: measureSlopes,
@@ -22,7 +24,8 @@
 class BenchCommand extends Command {
     static override paths = [Command.Default];
     static override usage = Command.Usage({
-        description: "Runs the named benchmarks: decisions, history, log, overhead, slopes. Runs all of them when no name is given.",
+        description:
+            "Runs the named benchmarks: decisions, history, ledger, log, overhead, slopes. Runs all of them when no name is given.",
         examples: [["Measure the slopes and write the capacity tables", "npm run bench -- slopes --write"]],
     });
 
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -69,6 +69,8 @@
 
 const defaultSnapshotEveryEntries = 20_000;
 const vmRecordRetentionMs = 60_000;
+/** Interval between log lines that tell of refused requests for tokens of one budget. */
+const refusalLogIntervalMs = 1_000;
 
 /** Starts a control VM on its store. */
 export function createControl(host: Host, options: ControlOptions): Control {
@@ -79,6 +81,8 @@
     const stateMachine = createStateMachine(registry);
     const stateChanged = createNotifier(host.timers);
     const vmRecords = new Map<string, VmRecord>();
+    /** Refusals since the last log line, by budget. */
+    const refusalsByBudget = new Map<string | undefined, { readonly loggedAtMs: number; readonly refusals: number; }>();
     const replica = createReplica(host, {
         self: options.self,
         store,
@@ -176,15 +180,22 @@
         return { kind: "done", index: outcome.index, controlTimeMs: proposed.controlTimeMs, result: outcome.result };
     }
 
+    // Entries that wait for tokens ask again and again, so one line a second for each budget tells how many.
     function logRefusedLeases({ grants }: CommandResults["leases.renew"]): void {
+        const nowMs = host.clock.nowMs();
         for (const grant of grants.filter(grant => grant.outcome === "exhausted" || grant.outcome === "recalling")) {
             const lease = state.ledger.getLease(grant.leaseId);
             const view = lease === undefined ? undefined : state.ledger.getView(lease.budget);
+            const { loggedAtMs, refusals } = refusalsByBudget.get(view?.budget) ?? { loggedAtMs: -Infinity, refusals: 0 };
+            const isDue = nowMs - loggedAtMs >= refusalLogIntervalMs;
+            refusalsByBudget.set(view?.budget, isDue ? { loggedAtMs: nowMs, refusals: 0 } : { loggedAtMs, refusals: refusals + 1 });
+            if (!isDue) continue;
             log.info("A budget has too few free tokens for a request.", {
                 ...view,
                 vm: lease?.vm,
                 leaseId: grant.leaseId,
                 outcome: grant.outcome,
+                refusalsBefore: refusals,
             });
         }
     }
--- a/src/control/plugins/budgets/ledger.ts
+++ b/src/control/plugins/budgets/ledger.ts
@@ -49,6 +49,8 @@
 const starvationPeriodMs = 1_000;
 /** Time within which a reachable entry is expected to respond to a recall. */
 const recallTimeoutMs = 1_500;
+/** Time after an entry's answer to a recall in which it is not asked again. */
+const recallPauseMs = 300;
 /** How long the highest lease sequence number of an incarnation is kept, in control time. */
 const sequenceRetentionMs = 24 * 3_600_000;
 
@@ -61,6 +63,8 @@
 export function createLedger(): Ledger {
     const budgets = new Map<BudgetName, BudgetAccount>();
     const leases = new Map<string, Lease>();
+    /** Sums over the leases of each budget, kept with each change, so that a renewal does not read all of them. */
+    const sumsByBudget = new Map<BudgetName, LeaseSums>();
     const sequences = new Map<Incarnation, SequenceRecord>();
     // Index of the recalled leases by incarnation, to avoid a scan of all leases.
     const recalledLeaseIds = new Map<Incarnation, Set<string>>();
@@ -133,11 +137,12 @@
             };
             budgets.clear();
             leases.clear();
+            sumsByBudget.clear();
             sequences.clear();
             recalledLeaseIds.clear();
             for (const account of saved.budgets) budgets.set(account.budget, { ...account, leaseIds: new Set(account.leaseIds) });
             for (const lease of saved.leases) {
-                leases.set(lease.leaseId, lease);
+                replaceLease(undefined, lease);
                 updateRecallIndex(lease, lease.isRecalled);
             }
             for (const [incarnation, record] of saved.sequences) sequences.set(incarnation, record);
@@ -161,9 +166,18 @@
         checkInvariant(account);
     }
 
+    // Keeps the sums of the lease's budget. Either side is undefined for a lease that is opened or closed.
+    function replaceLease(before: Lease | undefined, after: Lease | undefined): void {
+        const { budget, leaseId } = checkDefined(after ?? before, "a lease is replaced by another or removed");
+        const sums = addToSums(addToSums(sumsByBudget.get(budget) ?? noSums, before, -1), after, 1);
+        sumsByBudget.set(budget, sums);
+        if (after === undefined) leases.delete(leaseId);
+        else leases.set(leaseId, after);
+    }
+
     function setLease(lease: Lease): void {
         assert(getHeldTokens(lease) >= 0, `lease ${lease.leaseId} settled and released more tokens than it was granted`);
-        leases.set(lease.leaseId, lease);
+        replaceLease(leases.get(lease.leaseId), lease);
         updateRecallIndex(lease, lease.isRecalled);
         const account = getAccount(lease.budget);
         setAccount(account.leaseIds.has(lease.leaseId) ? account : { ...account, leaseIds: new Set([...account.leaseIds, lease.leaseId]) });
@@ -172,7 +186,7 @@
     function closeLease(lease: Lease): void {
         const account = getAccount(lease.budget);
         const leaseIds = new Set([...account.leaseIds].filter(leaseId => leaseId !== lease.leaseId));
-        leases.delete(lease.leaseId);
+        replaceLease(leases.get(lease.leaseId), undefined);
         updateRecallIndex(lease, false);
         setAccount({ ...account, leaseIds, closedSettledTokens: account.closedSettledTokens + lease.settledTokens });
     }
@@ -198,14 +212,8 @@
     }
 
     function createView(account: BudgetAccount): BudgetView {
-        let settledTokens = account.closedSettledTokens;
-        let leasedTokens = 0;
-        let inDoubtTokens = 0;
-        for (const lease of getAccountLeases(account)) {
-            settledTokens += lease.settledTokens;
-            if (lease.state === "open") leasedTokens += getHeldTokens(lease);
-            else inDoubtTokens += getHeldTokens(lease);
-        }
+        const { settledTokens: settledByOpenLeases, leasedTokens, inDoubtTokens } = sumsByBudget.get(account.budget) ?? noSums;
+        const settledTokens = account.closedSettledTokens + settledByOpenLeases;
         const freeTokens = Math.max(0, account.toppedUpTokens - settledTokens - leasedTokens - inDoubtTokens);
         const { budget, toppedUpTokens, writtenOffTokens } = account;
         return { budget, toppedUpTokens, settledTokens, leasedTokens, inDoubtTokens, freeTokens, writtenOffTokens };
@@ -229,7 +237,15 @@
             return createGrant({ ...settled, renewedAtMs: nowMs }, "granted", getHeldTokens(settled), nowMs);
         }
         const expiresAtMs = Math.max(settled.expiresAtMs, nowMs + rules.leaseMs);
-        const renewed: Lease = { ...settled, renewedAtMs: nowMs, expiresAtMs, isRecalled: false, recalledSinceMs: undefined };
+        const recallAnsweredAtMs = settled.isRecalled ? nowMs : settled.recallAnsweredAtMs;
+        const renewed: Lease = {
+            ...settled,
+            renewedAtMs: nowMs,
+            expiresAtMs,
+            isRecalled: false,
+            recalledSinceMs: undefined,
+            recallAnsweredAtMs,
+        };
         setLease(renewed);
         return grantTokens(renewed, renewal, rules, settled.isRecalled, nowMs);
     }
@@ -293,12 +309,11 @@
     function grantTokens(lease: Lease, renewal: LeaseRenewal, rules: LeaseRules, isRecalled: boolean, nowMs: number): LeaseGrant {
         const account = getAccount(lease.budget);
         const freeTokens = createView(account).freeTokens;
-        const others = getAccountLeases(account).filter(other => other.leaseId !== lease.leaseId);
         const isStarving = renewal.starvingTokens > 0;
-        if (isStarving && freeTokens < renewal.starvingTokens) return recallOrRefuse(lease, renewal, rules, others, freeTokens, nowMs);
+        if (isStarving && freeTokens < renewal.starvingTokens) return recallOrRefuse(lease, renewal, rules, freeTokens, nowMs);
         const isOtherStarving = account.starvingUntilMs > nowMs;
         const isReturnDue = isOtherStarving && !isStarving && isRecalled;
-        const shareTokens = Math.floor(freeTokens * rules.maxGrantShare / (others.length + 1));
+        const shareTokens = Math.floor(freeTokens * rules.maxGrantShare / account.leaseIds.size);
         const extraTokens = isOtherStarving ? 0 : Math.min(renewal.wantTokens, shareTokens);
         const newTokens = Math.min(freeTokens, renewal.starvingTokens + extraTokens);
         const granted = { ...lease, grantedTokens: lease.grantedTokens + newTokens };
@@ -311,10 +326,10 @@
         lease: Lease,
         renewal: LeaseRenewal,
         rules: LeaseRules,
-        others: readonly Lease[],
         freeTokens: number,
         nowMs: number,
     ): LeaseGrant {
+        const others = getAccountLeases(getAccount(lease.budget)).filter(other => other.leaseId !== lease.leaseId);
         // An entry that has not renewed within the timeout after a recall is considered lost or partitioned.
         const reachable = others.filter(other =>
             other.state === "open" && other.expiresAtMs >= nowMs && nowMs - (other.recalledSinceMs ?? nowMs) <= recallTimeoutMs
@@ -325,12 +340,40 @@
         }
         if (rules.isRecallEnabled) {
             setAccount({ ...getAccount(lease.budget), starvingUntilMs: nowMs + starvationPeriodMs });
-            for (const other of reachable) setLease({ ...other, isRecalled: true, recalledSinceMs: other.recalledSinceMs ?? nowMs });
+            for (const other of reachable.filter(candidate => mayReturnTokens(candidate, nowMs))) {
+                setLease({ ...other, isRecalled: true, recalledSinceMs: other.recalledSinceMs ?? nowMs });
+            }
         }
         return createGrant(lease, "recalling", 0, nowMs);
     }
 }
 
+// An entry returns all that it can with its answer to a recall. So soon afterwards it holds only what running requests need.
+function mayReturnTokens(lease: Lease, nowMs: number): boolean {
+    return !lease.isRecalled && getHeldTokens(lease) > 0 && nowMs - (lease.recallAnsweredAtMs ?? -Infinity) >= recallPauseMs;
+}
+
+/** Tokens of all leases of one budget. */
+interface LeaseSums {
+    readonly settledTokens: number;
+    /** Held by open leases. */
+    readonly leasedTokens: number;
+    /** Held by leases that are recovering or in doubt. */
+    readonly inDoubtTokens: number;
+}
+
+const noSums: LeaseSums = { settledTokens: 0, leasedTokens: 0, inDoubtTokens: 0 };
+
+function addToSums(sums: LeaseSums, lease: Lease | undefined, sign: 1 | -1): LeaseSums {
+    if (lease === undefined) return sums;
+    const heldTokens = sign * getHeldTokens(lease);
+    return {
+        settledTokens: sums.settledTokens + sign * lease.settledTokens,
+        leasedTokens: sums.leasedTokens + (lease.state === "open" ? heldTokens : 0),
+        inDoubtTokens: sums.inDoubtTokens + (lease.state === "open" ? 0 : heldTokens),
+    };
+}
+
 /** Creates the id of an entry's lease. Sequence numbers start at 1 and are never reused. */
 export function createLeaseId(incarnation: Incarnation, sequence: number): string {
     return `${incarnation}/${sequence}`;
--- a/src/control/plugins/budgets/types.ts
+++ b/src/control/plugins/budgets/types.ts
@@ -29,6 +29,8 @@
     readonly isRecalled: boolean;
     /** When the recall started. Undefined after the next renewal. */
     readonly recalledSinceMs?: number;
+    /** When the entry last renewed a recalled lease. Absent if it never was, and in snapshots of earlier versions. */
+    readonly recallAnsweredAtMs?: number;
 }
 
 /** State of one budget. */
--- a/src/entry/budgets/leaseManager.ts
+++ b/src/entry/budgets/leaseManager.ts
@@ -353,7 +353,11 @@
                 await renewDue().catch(error => log.warn("Renewing budget leases failed.", { detail: getErrorText(error) }));
             }
             starvingPauseMs = isStarving ? Math.min(starvingRetryMs.max, starvingPauseMs * starvingRetryMs.factor) : starvingRetryMs.first;
-            if (isStarving) await renewNow.wait(starvingPauseMs);
+            if (isStarving) {
+                // Each request that starts to wait wakes this loop, so the first pause bounds the calls of an entry.
+                await sleep(host.timers, starvingRetryMs.first);
+                await renewNow.wait(Math.max(0, starvingPauseMs - starvingRetryMs.first));
+            }
             else if (!isRenewalForced) await renewNow.wait(tickMs);
         }
     }
