Make one log entry at the most of a command that is sent again

Appends then took longer than their timeout and the new leader lost its quorum. Change: a command that is proposed under the id of a pending one, with the same input, waits for that one's entry; a configuration that is in force already is acknowledged after a read barrier, without an entry, and recognized by its digest before it is checked.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -12,7 +12,7 @@
 import { assert } from "../kernel/debug.js";
 import type { Host } from "../kernel/host.js";
 import { commandSchemas, querySchemas } from "../kernel/messages.js";
-import type { CommandKind, CommandResults, ControlReply } from "../kernel/messages.js";
+import type { ChangeOutcome, CommandInputs, CommandKind, CommandResults, ControlReply } from "../kernel/messages.js";
 import { createRegistry } from "../kernel/registry.js";
 import type { ControlPlugin } from "../kernel/registry.js";
 import { rpc } from "../kernel/rpc.js";
@@ -164,10 +164,18 @@
     async function submit(request: SubmitRequest): Promise<ControlReply<unknown>> {
         const parsed = commandSchemas[request.kind].safeParse(request.input);
         if (!parsed.success) return { kind: "rejected", detail: formatIssues(parsed.error.issues) };
+        if (request.kind === "configuration.replace" && state.isReplacementInForce(parsed.data as CommandInputs["configuration.replace"])) {
+            return confirmReplacement();
+        }
         const proposed = await replica.propose(request.operationId, request.kind, parsed.data);
         return toReply(proposed, request.kind);
     }
 
+    // An operator who got no answer sends the same set again and again. A log entry for each would only make the answers later.
+    function confirmReplacement(): Promise<ControlReply<ChangeOutcome>> {
+        return read(() => ({ outcome: "repeated", version: state.getConfiguration().version, problems: [] }));
+    }
+
     function toReply(proposed: ProposeResult, kind: CommandKind): ControlReply<unknown> {
         if (proposed.kind === "notLeader") return proposed;
         if (proposed.kind === "unknown") return { kind: "unavailable", detail: "the outcome is not known yet" };
--- a/src/control/log/replica.ts
+++ b/src/control/log/replica.ts
@@ -4,6 +4,7 @@
  * The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum, read index, learners,
  * joint consensus and leadership transfer (Ongaro's dissertation, 2014, chapters 3, 4, 6 and 9).
  */
+import { isDeepStrictEqual } from "node:util";
 import { assert, checkDefined } from "../../kernel/debug.js";
 import type { Host } from "../../kernel/host.js";
 import type { ApplyContext } from "../../kernel/registry.js";
@@ -25,6 +26,12 @@
     readonly resolve: (result: ProposeResult) => void;
 }
 
+interface PendingOperation {
+    readonly command: string;
+    readonly input: unknown;
+    readonly result: Promise<ProposeResult>;
+}
+
 const maxPendingProposals = 100_000;
 const readBarrierTimeoutMs = 2_000;
 const transferTimeoutMs = 3_000;
@@ -57,6 +64,8 @@
     const progressed = createNotifier(host.timers);
     const controlClock = createControlClock(host.clock);
     const pendingProposals = new Map<number, PendingProposal>();
+    /** Commands that are not applied yet, by operation id. */
+    const pendingOperations = new Map<string, PendingOperation>();
     const state: ReplicaState = {
         role: "follower",
         commitIndex: store.snapshot?.index ?? 0,
@@ -222,7 +231,16 @@
 
     function propose(operationId: string, command: string, input: unknown): Promise<ProposeResult> {
         if (!canPropose()) return Promise.resolve(createNotLeader());
-        return proposeEntry({ ...createEntryBase(), kind: "command", operationId, command, input });
+        const pending = pendingOperations.get(operationId);
+        // A call that is resent, or sent on two paths, waits for the entry of the first one.
+        if (pending?.command === command && isDeepStrictEqual(pending.input, input)) return pending.result;
+        const result = proposeEntry({ ...createEntryBase(), kind: "command", operationId, command, input });
+        const operation = { command, input, result };
+        pendingOperations.set(operationId, operation);
+        void result.then(() => {
+            if (pendingOperations.get(operationId) === operation) pendingOperations.delete(operationId);
+        });
+        return result;
     }
 
     function canPropose(): boolean {
--- a/src/control/plugins/configuration.ts
+++ b/src/control/plugins/configuration.ts
@@ -15,6 +15,8 @@
     getDelta(sinceVersion: number): ConfigurationDelta | undefined;
     getObjectIndex(): ObjectIndex;
     getVersion(): number;
+    /** True if the operator's version and set of the replacement are those in force, so that applying it changes nothing. */
+    isReplacementInForce(input: Replacement): boolean;
 }
 
 /** Dependencies of the configuration plug-in. */
@@ -54,6 +56,7 @@
         getDelta,
         getObjectIndex: () => objectIndex,
         getVersion: () => version,
+        isReplacementInForce: input => isInForce(input.operatorVersion, getDigest(input.objects)),
         plugin: {
             name: "configuration",
             commands: {
@@ -172,13 +175,13 @@
 
     // The highest operator version wins in any order of arrival, so a set with a lower one counts as already applied.
     function checkAndActivateReplacement(input: Replacement, contentDigest: string, context: ApplyContext): ChangeOutcome {
+        if (isInForce(input.operatorVersion, contentDigest)) return { outcome: "repeated", version, problems: [] };
         const checked = checkObjects(input.objects, options.registry, objects);
         if (checked.problems.length > 0) return { outcome: "invalid", version, problems: checked.problems };
         if (operatorDocument !== undefined && input.operatorVersion < operatorVersion) {
             return { outcome: "repeated", version, problems: [] };
         }
         if (operatorDocument !== undefined && input.operatorVersion === operatorVersion) {
-            if (contentDigest === operatorDigest) return { outcome: "repeated", version, problems: [] };
             const problem = { object: "set", field: "version", detail: `${operatorVersion} holds another set` };
             return { outcome: "conflict", version, problems: [problem] };
         }
@@ -189,6 +192,10 @@
         return { outcome: "accepted", version, problems: [] };
     }
 
+    function isInForce(newOperatorVersion: number, contentDigest: string): boolean {
+        return operatorDocument !== undefined && newOperatorVersion === operatorVersion && contentDigest === operatorDigest;
+    }
+
     function getView(): ConfigurationView {
         return { version, digest, objects, ...options.getQuarantine() };
     }
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -10,6 +10,7 @@
 import type { leaseRules } from "./budgets/types.js";
 import { createClaims } from "./claims.js";
 import { createConfiguration } from "./configuration.js";
+import type { Configuration } from "./configuration.js";
 import { createFleet } from "./fleet.js";
 import type { FleetState } from "./fleet.js";
 import { createObjectKinds } from "./objectKinds.js";
@@ -27,6 +28,7 @@
     onApplied(index: number): void;
     listRecalledBudgets(incarnation: Incarnation): readonly string[];
     hasArtifacts(): boolean;
+    isReplacementInForce: Configuration["isReplacementInForce"];
     answerHeartbeat(heartbeat: Heartbeat, controlTimeMs: number): HeartbeatResult;
 }
 
@@ -124,6 +126,7 @@
             }
         },
         listRecalledBudgets: ledger.listRecalledBudgets,
+        isReplacementInForce: configuration.isReplacementInForce,
         hasArtifacts: () => configuration.getObjectIndex().list("backendServerPool").some(pool => pool.artifacts.length > 0),
         answerHeartbeat(heartbeat, controlTimeMs) {
             const agent = fleet.state.agents.get(heartbeat.incarnation);
