Warm the request path of an entry up before callers send requests

Change: once an entry is ready it sends itself sample requests, through a second gateway with a configuration, tokens and a backend server of its own on loopback, until 240 are answered or callers have sent more than three requests. Readiness waits for nothing, so an entry that restarts under traffic is not later. Ruled out: running the warm-up before readiness (every restart would be seconds later).

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { replaceCapacityTables } from "./capacityPage.js";
 import { measureDecisions } from "./decisionBench.js";
+import { measureFirstRequests } from "./firstRequests.js";
 import { measureHistory } from "./historyBench.js";
 import { measureLedger } from "./ledgerBench.js";
 import { measureLog } from "./logBench.js";
@@ -12,6 +13,7 @@
 
 const benchmarks = {
     decisions: measureDecisions,
+    first: measureFirstRequests,
     history: () => measureHistory(),
     ledger: measureLedger,
     log: measureLog,
@@ -25,7 +27,7 @@
     static override paths = [Command.Default];
     static override usage = Command.Usage({
         description:
-            "Runs the named benchmarks: decisions, history, ledger, log, overhead, slopes. Runs all of them when no name is given.",
+            "Runs the named benchmarks: decisions, first, history, ledger, log, overhead, slopes. Runs all of them when no name is given.",
         examples: [["Measure the slopes and write the capacity tables", "npm run bench -- slopes --write"]],
     });
 
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -99,6 +99,10 @@
     parseReply(status: number, headers: Headers): ReplyHead;
     /** Headers of an error answer that the entry generates. */
     createRefusalHeaders(verdict: Verdict, requestId: string | undefined): Headers;
+    /** Headers of a caller's request with this head, for requests that the entry makes to itself. */
+    createSampleRequest(head: RequestHead): Headers;
+    /** Headers of a backend server's whole answer to a dispatch, for the same. */
+    createSampleReply(dispatchHeaders: Headers): Headers;
 }
 
 /** A request that the entry is serving. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -19,6 +19,7 @@
 import type { Gateway } from "./entry/direct/gateway.js";
 import type { RetryRules } from "./entry/direct/retryWindow.js";
 import type { DirectProtocol } from "./entry/direct/types.js";
+import { warmUp } from "./entry/direct/warmUp.js";
 import { createEntry } from "./entry/entry.js";
 import type { Entry, EntryOptions } from "./entry/entry.js";
 import { createCapacity } from "./kernel/capacity.js";
@@ -32,7 +33,7 @@
 import type { AgentAnnouncement } from "./kernel/messages.js";
 import { readHistogram } from "./kernel/metrics.js";
 import type { MetricReading } from "./kernel/metrics.js";
-import { createStopController, runPeriodically } from "./kernel/tasks.js";
+import { createStopController, runPeriodically, sleep } from "./kernel/tasks.js";
 import type { Address, BackendServerKind, FailureDomainName, VmName } from "./kernel/types.js";
 
 /** Settings that all processes have in common. */
@@ -282,6 +283,10 @@
     maxHeldShare: 0.03,
 } as const;
 
+const warmUpPollMs = 100;
+/** A few requests of callers do not show that there is traffic. */
+const maxRequestsBesideWarmUp = 3;
+
 /** Settings of a gateway, an entry that sends requests to backend servers directly instead of through agents. */
 export interface GatewaySettings {
     readonly vm: VmName;
@@ -296,6 +301,8 @@
     /** Maximum number of connections to one backend server. */
     readonly maxConnections: number;
     readonly connectTimeoutMs: number;
+    /** Makes requests to itself once it is ready and until callers send some. Needs a real network. */
+    readonly isWarmedUp?: boolean;
 }
 
 /** Starts a gateway, an entry that sends requests to backend servers directly instead of through agents. */
@@ -309,8 +316,9 @@
     });
     const fleetPort = fleetListen.slice(fleetListen.lastIndexOf(":"));
     let clientListener: Listener | undefined = undefined;
+    const identity = { vm, role: "entry", failureDomain, incarnation: host.random.nextId(), address: fleetListen } as const;
     const gateway = createGateway(host, {
-        identity: { vm, role: "entry", failureDomain, incarnation: host.random.nextId(), address: fleetListen },
+        identity,
         control,
         connections,
         protocol,
@@ -334,7 +342,14 @@
         clientListener,
     ];
     gateway.start();
+    if (settings.isWarmedUp === true) void warmUpWhenReady();
     return { ...createRunningProcess(gateway, listeners, control), setSeeds: paths.setSeeds };
+
+    async function warmUpWhenReady(): Promise<void> {
+        while (!gateway.isReady()) await sleep(host.timers, warmUpPollMs);
+        const isOver = () => gateway.statistics.read().requests > maxRequestsBesideWarmUp;
+        await warmUp(host, { protocol, identity, leasePacing: gatewayLeasePacing, isOver });
+    }
 }
 
 /** Settings of a relay. */
