Count a server's own report beside the dispatches that other entries tell of

Cause: as soon as any other entry had told of its load, the estimate of requests in flight was the entry's own plus theirs, and the server's report was left out. An entry hears of at most twelve others, so at 22 or 68 entries most of the load was unseen and a full server looked empty. Change: the larger of both.

--- a/src/entry/direct/placement.ts
+++ b/src/entry/direct/placement.ts
@@ -119,7 +119,8 @@
     const { server, tracked } = candidate;
     const ownDispatches = tracked.dispatches.size;
     const freshReport = tracked.reported !== undefined && nowMs - tracked.reported.atMs < loadStaleMs ? tracked.reported : undefined;
-    const inFlight = queued.peerLoad === undefined ? countInFlight(tracked, freshReport) : ownDispatches + queued.peerLoad.running;
+    // Of a large fleet an entry hears only some of the others, while the server's report counts the requests of all.
+    const inFlight = Math.max(countInFlight(tracked, freshReport), ownDispatches + (queued.peerLoad?.running ?? 0));
     const slots = Math.max(1, server.maxRunning);
     const coldMultiplier = server.coldLeftMs > 0 ? coldFactor : 1;
     if (request.promptTokens === 0) return coldMultiplier * serviceMs * (inFlight / slots + Math.max(0, inFlight - slots) / slots);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -104,3 +104,27 @@
     t.ok(Math.min(...counts.values()) > 140 && Math.max(...counts.values()) < 260, [...counts.values()].join(" "));
     t.end();
 });
+
+test("a server whose own report shows more load than the entries that are heard from is not taken for the emptier one", t => {
+    const { loads } = createPlacer();
+    const shared = servers.map(({ backendServer }) => ({ backendServer, running: 1, waiting: 0, waitingTokens: 0, partIds: [] }));
+    loads.applyPeerLoad({ from: "peer", sequence: 1, servers: shared }, 0);
+    // Two servers answered just now that they are busy, with requests of entries that send no messages here.
+    for (const { backendServer } of servers.slice(0, 2)) loads.recordLoad(backendServer, { running: 6, waiting: 3, slots: 6 }, 10);
+    loads.recordLoad("s3", { running: 1, waiting: 0, slots: 6 }, 10);
+    const candidates = servers.map(server => ({ server: { ...server, maxRunning: 6 }, tracked: loads.get(server.backendServer) }));
+    for (let unit = 0; unit < 1; unit += 0.1) {
+        const placement = choosePlacement({ promptTokens: 0, promptParts: [] }, candidates, 20, unit);
+        t.equal(placement?.server.backendServer, "s3");
+    }
+    t.end();
+});
+
+test("dispatches of other entries that a server's report does not hold yet still count", t => {
+    const { loads, choose } = createPlacer();
+    const busy = servers.slice(0, 2).map(({ backendServer }) => ({ backendServer, running: 60, waiting: 0, waitingTokens: 0, partIds: [] }));
+    loads.applyPeerLoad({ from: "peer", sequence: 1, servers: busy }, 0);
+    for (const { backendServer } of servers) loads.recordLoad(backendServer, { running: 1, waiting: 0, slots: 32 }, 10);
+    t.equal(choose(20).server.backendServer, "s3");
+    t.end();
+});
