--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -39,6 +39,7 @@
         start,
         returnUnreserved: () => undefined,
         forceRenewal: () => undefined,
+        setEntryCount: () => undefined,
         close: () => Promise.resolve(true),
         getReservedTokens: () => 0,
         getAvailableTokens,
--- a/src/entry/budgets/leaseManager.ts
+++ b/src/entry/budgets/leaseManager.ts
@@ -56,6 +56,8 @@
     returnUnreserved(budgets: readonly string[]): void;
     /** Renews and settles at control without waiting for further settlements. */
     forceRenewal(): void;
+    /** Sets the number of entries that share the budgets, including this one. */
+    setEntryCount(count: number): void;
     start(signal: AbortSignal): void;
     /** Settles and closes every lease. Resolves to false when this is not complete within `timeoutMs`. */
     close(timeoutMs: number): Promise<boolean>;
@@ -89,6 +91,11 @@
      * crashes while the budget runs low.
      */
     readonly maxHeldShare: number;
+    /**
+     * Maximum share that all entries together hold in advance. In a large fleet the shares of single entries would add up to the whole
+     * budget, and each request would need tokens back from others.
+     */
+    readonly fleetHeldShare: number;
 }
 
 /** Timing for a large fleet, in which each entry must call control infrequently. */
@@ -99,6 +106,7 @@
     renewTimeoutMs: 1_500,
     demand: defaultDemandRules,
     maxHeldShare: 1,
+    fleetHeldShare: Infinity,
 };
 
 interface HeldLease {
@@ -165,6 +173,7 @@
     let lastId = 0;
     let lastControlTimeMs = 0;
     let isRenewalForced = false;
+    let entryCount = 1;
     let lastRenewalAtMs = -Infinity;
     // Settlements are batched. The delay is short after a time without renewals and doubles with each renewal under steady load.
     let settlePauseMs: number = settleDelayMs.quiet;
@@ -185,6 +194,9 @@
             forceRenewal();
         },
         forceRenewal,
+        setEntryCount(count) {
+            entryCount = Math.max(1, count);
+        },
         start(signal) {
             void runRenewalLoop(signal);
         },
@@ -206,7 +218,8 @@
 
     function getTarget(lease: HeldLease, nowMs: number): number {
         const wantedTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
-        return Math.floor(Math.min(wantedTokens, lease.freeTokens * pacing.maxHeldShare));
+        const heldShare = Math.min(pacing.maxHeldShare, pacing.fleetHeldShare / entryCount);
+        return Math.floor(Math.min(wantedTokens, lease.freeTokens * heldShare));
     }
 
     function isUsable(lease: HeldLease): boolean {
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -121,6 +121,7 @@
         onWatchers(watchers, position) {
             loadExchange.addPeers(watchers);
             retryWindow.updateEntryCount(position.count);
+            leases.setEntryCount(position.count);
             serverLimits.updatePosition(position, host.clock.nowMs());
         },
     });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -122,7 +122,13 @@
 
 test("dispatches of other entries that a server's report does not hold yet still count", t => {
     const { loads, choose } = createPlacer();
-    const busy = servers.slice(0, 2).map(({ backendServer }) => ({ backendServer, running: 60, waiting: 0, waitingTokens: 0, partIds: [] }));
+    const busy = servers.slice(0, 2).map(({ backendServer }) => ({
+        backendServer,
+        running: 60,
+        waiting: 0,
+        waitingTokens: 0,
+        partIds: [],
+    }));
     loads.applyPeerLoad({ from: "peer", sequence: 1, servers: busy }, 0);
     for (const { backendServer } of servers) loads.recordLoad(backendServer, { running: 1, waiting: 0, slots: 32 }, 10);
     t.equal(choose(20).server.backendServer, "s3");
