Release what an entry holds beyond its share of a budget, and make the shares add up to a twentieth

Change: what is released is bounded by the share too, and the share of all entries is 5% instead of 8%, because an entry that makes no calls keeps what was its share when more was free.

--- a/src/entry/budgets/leaseManager.ts
+++ b/src/entry/budgets/leaseManager.ts
@@ -217,9 +217,11 @@
     }
 
     function getTarget(lease: HeldLease, nowMs: number): number {
-        const wantedTokens = lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs);
-        const heldShare = Math.min(pacing.maxHeldShare, pacing.fleetHeldShare / entryCount);
-        return Math.floor(Math.min(wantedTokens, lease.freeTokens * heldShare));
+        return Math.floor(Math.min(lease.demand.getTargetTokens(lease.preference.horizonMs, nowMs), getMaxHeldTokens(lease)));
+    }
+
+    function getMaxHeldTokens(lease: HeldLease): number {
+        return lease.freeTokens * Math.min(pacing.maxHeldShare, pacing.fleetHeldShare / entryCount);
     }
 
     function isUsable(lease: HeldLease): boolean {
@@ -423,9 +425,8 @@
 
     function releaseExcess(lease: HeldLease, nowMs: number): void {
         if (lease.waiting.size > 0) return;
-        const targetTokens = getTarget(lease, nowMs);
-        const excessTokens = getAvailable(lease) - excessFactor * targetTokens;
-        release(lease, Math.floor(excessTokens));
+        const maxTokens = Math.min(excessFactor * getTarget(lease, nowMs), getMaxHeldTokens(lease));
+        release(lease, Math.floor(getAvailable(lease) - maxTokens));
     }
 
     function createRenewal(lease: HeldLease, nowMs: number): LeaseRenewal {
--- a/test/heldTokens.test.ts
+++ b/test/heldTokens.test.ts
@@ -23,7 +23,7 @@
     settleDelayMs: { quiet: 500, steady: 2_000 },
     demand: { halfLifeMs: 3_000, minMeasuredMs: 1_500, requestsAhead: 2, urgentHorizonMs: 600 },
     maxHeldShare: 0.03,
-    fleetHeldShare: 0.08,
+    fleetHeldShare: 0.05,
 };
 
 interface Entry {
