--- a/src/entry/direct/warmUp.ts
+++ b/src/entry/direct/warmUp.ts
@@ -151,11 +151,13 @@
         time: { observe: ignore, getUpperBoundMs: () => 0, isCertainlyBefore: () => true },
         submit: async (kind, input) =>
             kind === "leases.renew" ? grantAll(input as CommandInputs["leases.renew"], granted) : { kind: "unreachable" },
-        query: async kind => kind === "configuration.get" ? createDone(createSampleConfiguration()) : { kind: "unreachable" },
+        query: async kind => kind === "control.status" ? createDone({ version: 1 }) : { kind: "unreachable" },
         heartbeat: async () => ({ kind: "unreachable" }),
-        async watch({ timeoutMs }) {
+        async watch({ version, timeoutMs }) {
+            const reply = { revision: 1, recalledBudgets: [], isConnected: true, members: [] };
+            if (version === 0) return { ...reply, configuration: createSampleConfiguration() };
             await sleep(host.timers, timeoutMs);
-            return { revision: 1, recalledBudgets: [], isConnected: true, members: [] };
+            return reply;
         },
         async watchDirectory({ timeoutMs }) {
             if (watches++ > 0) await sleep(host.timers, timeoutMs);
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -112,15 +112,31 @@
         );
     }
 
+    // Only the number of the version comes from the leader. The set, which may be large, comes from any control VM, so that a fleet that
+    // restarts does not read all its sets from one of them.
     async function readFullConfiguration(): Promise<boolean> {
-        const outcome = await control.query("configuration.get", {}, { timeoutMs: readTimeoutMs });
-        if (outcome.kind !== "done") return false;
-        activate(outcome.result);
+        const confirmed = await control.query("control.status", {}, { timeoutMs: readTimeoutMs });
+        if (confirmed.kind !== "done") return false;
+        if (confirmed.result.version > version && !await readSetOf(confirmed.result.version)) return false;
         hasConfirmedConfiguration = true;
         needsFullRead = false;
         return true;
     }
 
+    async function readSetOf(minVersion: number): Promise<boolean> {
+        const { vm, role, failureDomain, incarnation } = identity;
+        const reply = await control.watch({ vm, role, failureDomain, incarnation, version: 0, revision: 0, timeoutMs: watchTimeoutMs });
+        // What has changed since the empty set is the whole set.
+        const delta = reply?.delta;
+        const set = delta === undefined ? reply?.configuration : { ...delta, objects: delta.changed };
+        if (reply === undefined || set === undefined || set.version < minVersion) return false;
+        confirmedAtMs = host.clock.nowMs();
+        options.onVoterAddresses?.(reply.members);
+        revision = reply.revision;
+        activate(set);
+        return true;
+    }
+
     async function watchOnce(): Promise<void> {
         if (needsFullRead && !await readFullConfiguration()) return sleep(host.timers, retryMs);
         const { vm, role, failureDomain, incarnation } = identity;
