--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -10,8 +10,9 @@
 import { createStopController, getErrorText, runPeriodically, withTimeout } from "../kernel/tasks.js";
 import type { Address, FailureDomainName } from "../kernel/types.js";
 import type { PeerProgress, Replica } from "./log/replicaTypes.js";
-import { discardStore, formatStore, openStore, readStoreVoterId, UnusableStoreError } from "./log/store.js";
+import { openStore } from "./log/store.js";
 import type { LogStore, StoreHost } from "./log/store.js";
+import { discardStore, formatStore, readStoreVoterId, UnusableStoreError } from "./log/storeFiles.js";
 import { getMembers } from "./log/types.js";
 import type { Member, Membership } from "./log/types.js";
 
--- a/test/diskFaults.test.ts
+++ b/test/diskFaults.test.ts
@@ -1,7 +1,8 @@
 /** Operations of a store's disk that fail: after any of them, the store goes on and opens again with all acknowledged entries. */
 import { test } from "tap";
-import { formatStore, openStore } from "../src/control/log/store.js";
+import { openStore } from "../src/control/log/store.js";
 import type { LogStore } from "../src/control/log/store.js";
+import { formatStore } from "../src/control/log/storeFiles.js";
 import type { LogEntry } from "../src/control/log/types.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import type { FakeVm } from "../src/standins/fakeHost.js";
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -1,7 +1,8 @@
 /** The replicated log under crashes, network partitions, disk faults and membership changes. */
 import { test } from "tap";
-import { formatStore, openStore, UnusableStoreError } from "../src/control/log/store.js";
+import { openStore } from "../src/control/log/store.js";
 import type { LogStore } from "../src/control/log/store.js";
+import { formatStore, UnusableStoreError } from "../src/control/log/storeFiles.js";
 import type { LogEntry, Snapshot } from "../src/control/log/types.js";
 import { checkDefined } from "../src/kernel/debug.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
--- a/test/logGroup.ts
+++ b/test/logGroup.ts
@@ -2,8 +2,9 @@
 import { createPeerCalls, createRootRouter } from "../src/control/log/peers.js";
 import { createReplica } from "../src/control/log/replica.js";
 import type { PeerCalls, Replica, StateMachine } from "../src/control/log/replicaTypes.js";
-import { formatStore, openStore } from "../src/control/log/store.js";
+import { openStore } from "../src/control/log/store.js";
 import type { LogStore } from "../src/control/log/store.js";
+import { formatStore } from "../src/control/log/storeFiles.js";
 import type { Member } from "../src/control/log/types.js";
 import type { Timers } from "../src/kernel/host.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
