--- a/src/entry/direct/warmUp.ts
+++ b/src/entry/direct/warmUp.ts
@@ -32,8 +32,8 @@
     readonly failed: number;
 }
 
-/** By then the runtime has compiled what it compiles. */
-const maxRequests = 240;
+/** By then the runtime has compiled most of the path. Each request more costs the whole fleet processor time. */
+const maxRequests = 80;
 const requestTimeoutMs = 4_000;
 const minPauseMs = 2;
 const eventsPerStream = 6;
