Take an answer of an earlier control VM about a stream for what it says

Such an answer lacks the versions that the entry compares; reading it would have thrown in the middle of a rolling upgrade, and the request would have waited for ever. It now counts as no evidence of a single version. Test: streamVersions, decideOrigin with such answers. Found by reading the diff.

--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -165,7 +165,7 @@
 
 function createContinuation(origin: StreamOrigin, replies: readonly OriginReply[]): StreamContinuation {
     const hasOtherVersion = ([, version]: readonly [string, string]) => version !== origin.softwareVersion;
-    const others = replies.flatMap(reply => Object.entries(reply.versionByServer)).filter(hasOtherVersion);
+    const others = replies.flatMap(reply => Object.entries(reply.versionByServer ?? {})).filter(hasOtherVersion);
     return { pool: origin.pool, softwareVersion: origin.softwareVersion, otherServers: new Set(others.map(([server]) => server)) };
 }
 
@@ -192,8 +192,8 @@
     if (isMajority(witnesses.length) && versionBefore !== undefined && otherVersions.length === 0) {
         return { pool, softwareVersion: versionBefore };
     }
-    const hasOtherVersion = replies.some(reply => reply.versionsSince.some(version => version !== onlyVersion));
-    if (onlyVersion === undefined || hasOtherVersion || !isMajority(replies.length)) return undefined;
+    const agreeing = replies.filter(reply => reply.versionsSince?.every(version => version === onlyVersion));
+    if (onlyVersion === undefined || agreeing.length < replies.length || !isMajority(agreeing.length)) return undefined;
     return { pool, softwareVersion: onlyVersion };
 }
 
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -129,10 +129,16 @@
     readonly isWindowKnown: boolean;
     /** The only version that the pool had at the start of the window. Absent if there were several. */
     readonly versionBefore?: string;
-    /** All versions that the pool has had since the start of the window, as far as this control VM has run. */
-    readonly versionsSince: readonly string[];
-    /** Present versions of the pool's backend servers by name. A server may have started again under its name at another version. */
-    readonly versionByServer: Readonly<Record<string, string>>;
+    /**
+     * All versions that the pool has had since the start of the window, as far as this control VM has run. Absent from a control VM of an
+     * earlier version.
+     */
+    readonly versionsSince?: readonly string[];
+    /**
+     * Present versions of the pool's backend servers by name. A server may have started again under its name at another version. Absent from
+     * a control VM of an earlier version.
+     */
+    readonly versionByServer?: Readonly<Record<string, string>>;
 }
 
 /** A request of a control VM with an empty disk to join the group. */
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -1,5 +1,6 @@
 /** A stream goes on only at servers of the software version that began it. */
 import { test } from "tap";
+import { decideOrigin } from "../src/entry/direct/streamOrigins.js";
 import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
 import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
 import type { CallResult, DirectFleet, FakeServer, ServerBehavior } from "./directFleet.js";
@@ -263,3 +264,28 @@
     t.equal(told, 0);
     t.equal(asked, 6, "each stream that goes on asks each control VM once");
 });
+
+test("control VMs of an earlier version, which do not tell all versions, are no evidence that there is only one", t => {
+    const earlier = { isWindowKnown: false };
+    const evidence = { memberCount: 3, pool: "models", onlyVersion: "v1" };
+    t.equal(decideOrigin({ ...evidence, replies: [earlier, earlier, earlier] }), undefined);
+    t.equal(
+        decideOrigin({ ...evidence, replies: [earlier, { ...earlier, versionsSince: ["v1"] }, { ...earlier, versionsSince: ["v1"] }] }),
+        undefined,
+    );
+    t.same(
+        decideOrigin({ ...evidence, replies: [{ ...earlier, versionsSince: ["v1"] }, { ...earlier, versionsSince: [] }] }),
+        { pool: "models", softwareVersion: "v1" },
+    );
+    t.same(
+        decideOrigin({
+            ...evidence,
+            replies: [{ ...earlier, isWindowKnown: true, versionBefore: "v0" }, { ...earlier, isWindowKnown: true, versionBefore: "v0" }],
+        }),
+        {
+            pool: "models",
+            softwareVersion: "v0",
+        },
+    );
+    t.end();
+});
