Log each decision where a stream began again, as the operations page says

Found by reading the change as the person on call: renamed the line that docs/OPERATIONS.md tells to grep for, wrote it for refusals only, and left out how many control VMs knew all of the time. A stream that went on at a wrong version would have left no trace of why. Change: one line for each decision, under its old name, with the version, whether it was recorded, replies of how many, witnesses and what the entry knew itself. Test: streamVersions checks line and fields.

--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -133,9 +133,17 @@
         const decide = (replies: readonly OriginReply[], memberCount: number) => decideOrigin({ replies, memberCount, pool, onlyVersion });
         const { replies, memberCount } = await findOrigin(sharedId, pool, (...evidence) => decide(...evidence) !== undefined);
         const origin = decide(replies, memberCount);
-        if (origin !== undefined) return createContinuation(origin, replies);
-        log.info("It is not known where a stream began.", { requestId, pool, replies: replies.length, onlyVersion });
-        return undefined;
+        log.info("A stream of unknown origin is taken up again.", {
+            requestId,
+            pool,
+            softwareVersion: origin?.softwareVersion,
+            isRecorded: replies.some(reply => reply.origin !== undefined),
+            replies: replies.length,
+            witnesses: replies.filter(reply => reply.isWindowKnown).length,
+            members: memberCount,
+            onlyVersion,
+        });
+        return origin === undefined ? undefined : createContinuation(origin, replies);
     }
 
     // An entry that no control VM answers goes on with its own streams by what it knows of the backend servers.
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -192,6 +192,9 @@
         t.match(result.text, "streamOriginUnknown");
     }
     t.same(fleet.servers.flatMap(server => server.runs), []);
+    const lines = fleet.simulation.logLines.filter(line => line.includes("A stream of unknown origin is taken up again."));
+    t.equal(lines.length, 3);
+    for (const line of lines) t.match(line, /"requestId":"never-seen".*"replies":0,"witnesses":0,"members":3/);
 });
 
 test("a stream whose version has no server left is refused at once as not run", async t => {
