End connections on which bytes come that belong to no body

Change: readWatch compares what a connection has read for an answer with what its body's reader took. Streams in chunks of one byte (five bytes of framing each) stay whole. Tests: endlessAnswers, seven kinds of framing, each for a plain answer and a stream. Ruled out: limits for each kind of framing (undici has none to set, and the next kind would be missed).

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -8,11 +8,15 @@
 import { isAddress } from "./address.js";
 import type { BackendConnectionOptions, BackendConnections, IncomingResponse, OutgoingRequest } from "./host.js";
 import { NotSentError } from "./host.js";
+import { watchReads } from "./readWatch.js";
+import type { ReadWatch, ReadWatchOptions } from "./readWatch.js";
 import type { Address } from "./types.js";
 
 interface Connection {
     readonly client: Client;
     socket: Socket | undefined;
+    /** Watches what arrives on the current socket. */
+    watch: ReadWatch | undefined;
     /** Error of the current socket, if any. */
     socketError: Error | undefined;
     /** Number of responses that have begun on the current socket. */
@@ -30,7 +34,10 @@
 const connectErrorCodes: ReadonlySet<string> = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
 
 /** Creates a pool of connections to any number of backend servers. */
-export function createNodeBackendConnections(options: BackendConnectionOptions): BackendConnections {
+export function createNodeBackendConnections(
+    options: BackendConnectionOptions,
+    { clock, log }: Omit<ReadWatchOptions, "address">,
+): BackendConnections {
     const byAddress = new Map<Address, Connection[]>();
     return {
         async request(address, request) {
@@ -81,6 +88,7 @@
         const connection: Connection = {
             isBusy: false,
             socket: undefined,
+            watch: undefined,
             socketError: undefined,
             responses: 0,
             client: new Client(`http://${address}`, {
@@ -94,6 +102,7 @@
                         connection.socketError = undefined;
                         connection.responses = 0;
                         connection.socket = socket as Socket;
+                        connection.watch = watchReads(socket as Socket, { address, clock, log });
                         (socket as Socket).prependOnceListener("end", () => {
                             if (wasReset(socket as Socket)) connection.socketError = new VError("the connection to %s was reset", address);
                         });
@@ -163,7 +172,10 @@
 
 async function* readBody(connection: Connection, response: IncomingResponse, release: () => void): AsyncGenerator<Uint8Array> {
     try {
-        yield* response.body;
+        for await (const part of response.body) {
+            connection.watch?.addBodyBytes(part.length);
+            yield part;
+        }
         // undici treats a connection reset as the normal end of a response without a length.
         if (connection.socketError !== undefined && response.isCloseDelimited === true) throw connection.socketError;
     }
@@ -174,6 +186,7 @@
 
 async function send(connection: Connection, request: OutgoingRequest): Promise<IncomingResponse> {
     let informationalCount = 0;
+    connection.watch?.begin();
     // Building a URL would normalize the path, which must be forwarded unchanged.
     const response = await connection.client.request({
         path: request.path,
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -55,6 +55,7 @@
     });
     const sockets = createRpcSockets({ fleetSecret, clock: nodeClock, log: createLogger("network"), connectTimeoutMs });
     const serverLog = createLogger("httpServer");
+    const connectionLog = createLogger("backendConnections");
     return {
         serve: options => serve(options, fleetSecret, nodeClock, serverLog),
         async request(address, request): Promise<IncomingResponse> {
@@ -76,7 +77,7 @@
             const httpLink = createHttpLink(address, pool, fleetSecret, relay);
             return relay === undefined ? sockets.linkTo(address, httpLink) : httpLink;
         },
-        createBackendConnections: createNodeBackendConnections,
+        createBackendConnections: options => createNodeBackendConnections(options, { clock: nodeClock, log: connectionLog }),
     };
 }
 
--- a/test/backendConnections.test.ts
+++ b/test/backendConnections.test.ts
@@ -4,7 +4,9 @@
 import { createNodeBackendConnections } from "../src/kernel/backendConnections.js";
 import type { BackendConnections } from "../src/kernel/host.js";
 import { NotSentError } from "../src/kernel/host.js";
+import { nodeClock } from "../src/kernel/hostNode.js";
 import { readAll } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 /** Starts a server that answers each request with the given function and counts its connections. */
 async function serve(respond: (socket: net.Socket) => void) {
@@ -20,7 +22,7 @@
 }
 
 function createConnections(maxConnections = 4): BackendConnections {
-    return createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections });
+    return createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections }, { clock: nodeClock, log: createSilentLogger() });
 }
 
 async function get(connections: BackendConnections, address: string): Promise<string> {
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -16,6 +16,8 @@
 /** Long enough that an attempt that only its deadline ends fails the test. */
 const deadlineMs = 20_000;
 const maxSentBytes = 64 * 1024 * 1024;
+/** Far more than the buffers of both sockets hold beside what may be read. */
+const maxSentFramingBytes = 16 * 1024 * 1024;
 const sealedHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Worker-Seal: s\r\n";
 
 /** Makes one attempt at a server that handles each connection with `respond`, and waits until the attempt's connection is closed. */
@@ -106,6 +108,34 @@
     t.ok(sentBytes < maxSentBytes);
 });
 
+const chunkedHead = `${sealedHead}Transfer-Encoding: chunked\r\n\r\n`;
+const endlessFraming = [
+    { name: "the reason of a status", head: "HTTP/1.1 200 O", part: "K" },
+    { name: "empty lines before an answer", head: "", part: "\r\n" },
+    { name: "the white space before the value of a header", head: `${sealedHead}A:`, part: " " },
+    { name: "the size of a chunk", head: chunkedHead, part: "0" },
+    { name: "the extension of a chunk", head: `${chunkedHead}1;`, part: "a" },
+    { name: "extensions of chunks that hold one byte", head: chunkedHead, part: `1;${"a".repeat(1_000)}\r\nb\r\n` },
+    { name: "the lines of a trailer", head: `${chunkedHead}0\r\n`, part: "A: b\r\n" },
+] as const;
+
+for (const { name, head, part } of endlessFraming) {
+    test(`bytes without end in ${name} end the connection, for a plain answer and a stream`, async t => {
+        for (const repeat of ["idempotent", "stream"] as const) {
+            const { outcome, sentBytes } = await attemptEndless(head, part, repeat);
+            t.equal(getCode(outcome), "mayHaveRun outcomeUnknown", repeat);
+            t.ok(sentBytes < maxSentFramingBytes, `${repeat}: ${sentBytes} bytes`);
+        }
+    });
+}
+
+test("a stream in many small chunks, which are mostly framing, is read to its end", async t => {
+    const event = "data: a\n\n";
+    const chunks = [...event].map(letter => `1\r\n${letter}\r\n`).join("").repeat(40_000);
+    const { outcome } = await attempt("stream", socket => socket.end(`${chunkedHead}${chunks}0\r\n\r\n`));
+    t.equal(getCode(outcome), "streamed");
+});
+
 test("a body without end fails the attempt and closes the connection", async t => {
     const { outcome, sentBytes } = await attemptEndless(`${sealedHead}\r\n`, "more", "idempotent");
     t.equal(getCode(outcome), "mayHaveRun outcomeUnknown");
--- a/test/oddAnswers.test.ts
+++ b/test/oddAnswers.test.ts
@@ -10,7 +10,9 @@
 import { test } from "tap";
 import type * as backendConnections from "../src/kernel/backendConnections.js";
 import type { BackendConnections } from "../src/kernel/host.js";
+import { nodeClock } from "../src/kernel/hostNode.js";
 import { readAll } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 const run = promisify(execFile);
 const requireModule = createRequire(import.meta.url);
@@ -125,7 +127,10 @@
         const file = path.join(folder, `${copies++}.cjs`);
         await fs.copyFile(path.join(folder, "backendConnections.cjs"), file);
         const { createNodeBackendConnections } = requireModule(file) as typeof backendConnections;
-        const connections = createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections: 1 });
+        const connections = createNodeBackendConnections(
+            { connectTimeoutMs: 500, maxConnections: 1 },
+            { clock: nodeClock, log: createSilentLogger() },
+        );
         const holdMs = await measureHold(connections, answer);
         if (holdMs > maxHoldMs) holds[name] = holdMs;
     }
--- a/test/unaskedAnswers.test.ts
+++ b/test/unaskedAnswers.test.ts
@@ -2,7 +2,9 @@
 import * as net from "node:net";
 import { test } from "tap";
 import { createNodeBackendConnections } from "../src/kernel/backendConnections.js";
+import { nodeClock } from "../src/kernel/hostNode.js";
 import { readAll } from "../src/kernel/tasks.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { createSealedHead, startRealDelivery } from "./realDelivery.js";
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
@@ -22,7 +24,10 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const connections = createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections: 1 });
+    const connections = createNodeBackendConnections(
+        { connectTimeoutMs: 500, maxConnections: 1 },
+        { clock: nodeClock, log: createSilentLogger() },
+    );
     const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
     return {
         state,
