Stop parsing a head once it is too large

Cause: past its limit undici destroys the socket, but parses what was read to its end, with an error and its stack for each further line. Change: the error of a head that is too large is thrown out of the parser where it first occurs. undici takes it like any error of its parser. Ruled out: errors without stacks (stackTraceLimit 1 and 0: 180 and 130 ms).

--- a/src/kernel/readWatch.ts
+++ b/src/kernel/readWatch.ts
@@ -28,6 +28,8 @@
 const maxFramingPerBodyByte = 16;
 /** Processing that holds the process for longer than this is logged. */
 const slowReadMs = 100;
+/** Code of undici's error for a head that is too large. */
+const headersOverflowCode = "UND_ERR_HEADERS_OVERFLOW";
 
 /** Starts to watch a socket that has just connected. A socket with too many bytes beside its bodies is destroyed. */
 export function watchReads(socket: Socket, options: ReadWatchOptions): ReadWatch {
@@ -35,8 +37,17 @@
     let readBefore = 0;
     let bodyBytes = 0;
     let startedAtMs = 0;
+    let isParsing = false;
+    const destroySocket = socket.destroy.bind(socket);
+    socket.destroy = error => {
+        destroySocket(error);
+        // undici takes this as any error of its parser. Without it, the parser goes on to the end of what was read, with an error for each line.
+        if (isParsing && error !== undefined && "code" in error && error.code === headersOverflowCode) throw error;
+        return socket;
+    };
     socket.prependListener("readable", () => {
         startedAtMs = clock.nowMs();
+        isParsing = true;
     });
     // The parser adds its listener after the socket was handed to it, and this one has to run after that.
     setImmediate(() => socket.on("readable", checkRead));
@@ -51,6 +62,7 @@
     };
 
     function checkRead(): void {
+        isParsing = false;
         const heldMs = Math.round(clock.nowMs() - startedAtMs);
         if (heldMs > slowReadMs) {
             log.warn("Data of a backend server took long to process.", { address, heldMs, answerBytes: socket.bytesRead - readBefore });
--- a/test/oddAnswers.test.ts
+++ b/test/oddAnswers.test.ts
@@ -66,6 +66,11 @@
     ["more bytes after the answer", `HTTP/1.1 200 OK\r\n${lengthAndBody}more`],
     ["two answers", `HTTP/1.1 200 OK\r\n${lengthAndBody}HTTP/1.1 200 OK\r\n${lengthAndBody}`],
     ["two answers, the second with an odd status", `HTTP/1.1 200 OK\r\n${lengthAndBody}HTTP/1.1 000 OK\r\n${lengthAndBody}`],
+    ["more header lines than the limit allows, read at once", `HTTP/1.1 200 OK\r\n${"A: b\r\n".repeat(10_000)}\r\n`],
+    [
+        "more trailer lines than the limit allows, read at once",
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n${"A: b\r\n".repeat(10_000)}\r\n`,
+    ],
     ["noise", "\x16\x03\x01\x02\x00\x01\x00"],
 ] as const;
 const oddAnswers: ReadonlyMap<string, string> = new Map<string, string>([
