Bound what an entry holds of all answers together

Change: heldBytes counts what is held of all answers and unfinished events, 48 MiB at the most. Over that, answers are ended that are still being read, first the largest of the server that holds most. Whole answers count until they are written and are not ended. Parts are collected in blocks: a body in chunks of one byte took a buffer object each, a hundred times its size. Limits of messages that are read whole stand in one table, readLimits, and readAll and readLines have no default any more: agents' refusals and token counts had 16 MiB. readLines searched a long line anew with each chunk. Metrics: lovage_entry_held_answer_bytes, lovage_entry_ended_answers. A message that is ended is logged with its sender. Ruled out: a smaller limit for each answer (large sound ones); relaying large answers as they come (a repeatable request could not be repeated any more).

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -1,6 +1,7 @@
 /** Callers of a fleet: they send requests, read the responses to the end and record the results. */
 import type { Host } from "../src/kernel/host.js";
 import { NotSentError } from "../src/kernel/host.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll } from "../src/kernel/tasks.js";
 import { getExpectedAnswer } from "../src/standins/modelEngine.js";
 import { getApiKey } from "./fleet.js";
@@ -177,7 +178,7 @@
             signal,
         });
         const verdict = reply.headers["lovage-verdict"] ?? "unknown";
-        const text = Buffer.from(await readAll(reply.body)).toString("utf8");
+        const text = Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString("utf8");
         return { status: reply.status, verdict, body: text };
     }
     catch (error) {
--- a/bench/overheadBench.ts
+++ b/bench/overheadBench.ts
@@ -5,6 +5,7 @@
 import { join } from "node:path";
 import type { Host } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createModelEngine } from "../src/standins/modelEngine.js";
@@ -102,7 +103,7 @@
                 headers: { "authorization": `Bearer ${getApiKey("a")}`, "content-type": "application/json" },
                 body: Buffer.from(JSON.stringify(body)),
             });
-            const text = Buffer.from(await readAll(reply.body)).toString("utf8");
+            const text = Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString("utf8");
             if (reply.status !== 200 || !text.includes("[DONE]")) throw new Error(`status ${reply.status}: ${text.slice(0, 200)}`);
             histogram.recordValue(Math.round((performance.now() - startedMs) * 1_000));
         }
--- a/src/agent/adapters/modelEngine.ts
+++ b/src/agent/adapters/modelEngine.ts
@@ -4,6 +4,7 @@
 import { NotSentError } from "../../kernel/host.js";
 import type { Host, IncomingResponse } from "../../kernel/host.js";
 import type { EngineOrder } from "../../kernel/messages.js";
+import { maxMessageBytes } from "../../kernel/readLimits.js";
 import { getErrorText, readAll } from "../../kernel/tasks.js";
 import type { Address, TokenUsage } from "../../kernel/types.js";
 import type { BackendServerAdapter, BackendServerLoad, ResponseSink, RunOutcome } from "../types.js";
@@ -72,7 +73,9 @@
                 headers: { "content-type": "application/json" },
                 body: Buffer.from(JSON.stringify({ model, messages })),
             });
-            const counted = tokenCountSchema.safeParse(JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")));
+            const counted = tokenCountSchema.safeParse(
+                JSON.parse(Buffer.from(await readAll(reply.body, maxMessageBytes.shortReply)).toString("utf8")),
+            );
             return reply.status === 200 && counted.success ? counted.data.count : undefined;
         },
         applyOrder: order => sendOrder(host, address, order),
@@ -80,7 +83,7 @@
 }
 
 async function toFailedOutcome(reply: IncomingResponse): Promise<RunOutcome> {
-    const text = Buffer.from(await readAll(reply.body)).toString("utf8").slice(0, 200);
+    const text = Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString("utf8").slice(0, 200);
     const kind = reply.status >= serverErrorStatus && reply.status !== 503 ? "broken" : "refused";
     return { kind, detail: `status ${reply.status}: ${text}` };
 }
@@ -119,7 +122,7 @@
 
 async function getJson<T>(host: Host, address: Address, path: string, schema: z.ZodType<T>): Promise<T> {
     const reply = await host.network.request(address, { method: "GET", path });
-    return schema.parse(JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")));
+    return schema.parse(JSON.parse(Buffer.from(await readAll(reply.body, maxMessageBytes.loadReport)).toString("utf8")));
 }
 
 /** Sends an order to an engine. Resolves to true if the engine carried it out. */
@@ -131,7 +134,7 @@
         headers: { "content-type": "application/json" },
         body,
     });
-    await readAll(reply.body);
+    await readAll(reply.body, maxMessageBytes.shortReply);
     return reply.status === 200;
 }
 
--- a/src/agent/adapters/plainService.ts
+++ b/src/agent/adapters/plainService.ts
@@ -1,6 +1,7 @@
 /** Adapter for a plain service. It forwards the request unchanged and returns the response body in base64 chunks. */
 import { NotSentError } from "../../kernel/host.js";
 import type { Host } from "../../kernel/host.js";
+import { maxMessageBytes } from "../../kernel/readLimits.js";
 import { getErrorText, readAll } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import type { BackendServerAdapter, BackendServerLoad } from "../types.js";
@@ -32,7 +33,7 @@
         },
         async refreshLoad(): Promise<BackendServerLoad> {
             const reply = await host.network.request(address, { method: "GET", path: "/load" });
-            const load = JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")) as {
+            const load = JSON.parse(Buffer.from(await readAll(reply.body, maxMessageBytes.loadReport)).toString("utf8")) as {
                 runningRequests: number;
                 queuedRequests: number;
             };
--- a/src/entry/attemptStream.ts
+++ b/src/entry/attemptStream.ts
@@ -7,6 +7,7 @@
 import type { Host, IncomingResponse } from "../kernel/host.js";
 import { agentLoadHeader, agentLoadSchema } from "../kernel/messages.js";
 import type { AgentLoad, AgentRefusal, Dispatch, Frame } from "../kernel/messages.js";
+import { maxMessageBytes } from "../kernel/readLimits.js";
 import { readAll, readLines, sleep, withTimeout } from "../kernel/tasks.js";
 import type { Address, Incarnation } from "../kernel/types.js";
 import { createVerdict } from "../kernel/verdict.js";
@@ -76,7 +77,7 @@
 }
 
 async function readRefusal(reply: IncomingResponse): Promise<Verdict> {
-    const refusal = JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")) as AgentRefusal;
+    const refusal = JSON.parse(Buffer.from(await readAll(reply.body, maxMessageBytes.refusal)).toString("utf8")) as AgentRefusal;
     return createVerdict("notRun", isMessageCode(refusal.code) ? refusal.code : "backendServerRefused", refusal.detail);
 }
 
@@ -127,12 +128,12 @@
     const call = host.network.request(location.address, { method: "GET", path, signal });
     const reply = await withTimeout(host.timers, call, resumeTimeoutMs, "resume");
     if (reply.status === 200) return reply;
-    await readAll(reply.body);
+    await readAll(reply.body, maxMessageBytes.refusal);
     throw new AnswerLostError(reply.status === 404 ? "unknownRequest" : "otherIncarnation");
 }
 
 async function* readFrames(reply: IncomingResponse, requestId: string): AsyncGenerator<Frame> {
-    for await (const line of readLines(reply.body)) {
+    for await (const line of readLines(reply.body, maxMessageBytes.frame)) {
         const frame = JSON.parse(line) as Frame;
         if (frame.requestId !== requestId) throw new UnexpectedFrameError(`got a frame of ${frame.requestId}, expected ${requestId}`);
         yield frame;
--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -2,8 +2,10 @@
 import VError from "verror";
 import type { MessageCode } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
+import type { HeldBytes, HeldMessage } from "../../kernel/heldBytes.js";
 import { NotSentError } from "../../kernel/host.js";
 import type { BackendConnections, Host, IncomingResponse, Logger } from "../../kernel/host.js";
+import { maxMessageBytes } from "../../kernel/readLimits.js";
 import { getErrorText, readAll } from "../../kernel/tasks.js";
 import { createVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
@@ -19,6 +21,8 @@
     readonly body: Uint8Array;
     /** True when the body is delimited by the end of the connection instead of a content length or chunked encoding. */
     readonly isCloseDelimited: boolean;
+    /** Counts the body until it is released, once the answer is written or dropped. */
+    readonly held: HeldMessage;
 }
 
 /** Result of an attempt. */
@@ -54,6 +58,8 @@
     readonly connections: BackendConnections;
     readonly server: BackendServerRecord;
     readonly sink: StreamSink;
+    /** Counts what is held of all answers. */
+    readonly heldAnswers: HeldBytes;
     readonly log: Logger;
     readonly enginePriority?: number;
     readonly onLoad: (load: ServerLoad) => void;
@@ -64,9 +70,7 @@
 }
 
 const eventStreamType = "text/event-stream";
-const maxAnswerBytes = 8 * 1024 * 1024;
-/** Limits of the body of a refusal. Beyond them its connection is closed. */
-const maxRefusalBytes = 64 * 1024;
+/** Beyond this time the connection of a refusal whose body has not ended is closed. */
 const refusalBodyTimeoutMs = 100;
 
 /** Sends a request to a backend server and relays the answer. Ends at the deadline or when the caller disconnects. */
@@ -83,6 +87,12 @@
     call.endSignal.addEventListener("abort", endInTime);
     const onCallerDisconnect = () => abortController.abort();
     call.request.signal.addEventListener("abort", onCallerDisconnect);
+    let endedForRoom: Error | undefined;
+    const held = options.heldAnswers.open(server.backendServer, error => {
+        endedForRoom = error;
+        abortController.abort();
+    });
+    let isHeldOn = false;
     try {
         const metadata: DispatchMetadata = {
             backendServer: server.backendServer,
@@ -98,18 +108,22 @@
             body: call.request.body.length > 0 || call.request.headers["transfer-encoding"] !== undefined ? call.request.body : undefined,
             signal: abortController.signal,
         });
-        return await processReply(reply);
+        const outcome = await processReply(reply);
+        isHeldOn = outcome.kind === "answer";
+        return outcome;
     }
     catch (error) {
         abortController.abort();
         if (error instanceof NotSentError) {
             return { ...createFailure("notRun", "noBackendServer", "unreachable", getErrorText(error)), isSent: false };
         }
+        if (endedForRoom !== undefined) return createFailure("mayHaveRun", "outcomeUnknown", "failed", getErrorText(endedForRoom));
         if (hasTimedOut) return createFailure("mayHaveRun", "deadlineExceeded", "unknown");
         if (call.request.signal.aborted) return createFailure("mayHaveRun", "outcomeUnknown", "unknown", "The caller has left.");
         return createFailure("mayHaveRun", "outcomeUnknown", "broken", getErrorText(error));
     }
     finally {
+        if (!isHeldOn) held.release();
         cancelTimer();
         call.endSignal.removeEventListener("abort", endInTime);
         call.request.signal.removeEventListener("abort", onCallerDisconnect);
@@ -181,9 +195,10 @@
     }
 
     async function readAnswer(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
-        const data = await readAll(reply.body, maxAnswerBytes);
+        const body = await readAll(reply.body, maxMessageBytes.answer, held);
+        held.complete();
         const isCloseDelimited = reply.isCloseDelimited === true;
-        return { kind: "answer", answer: { status: head.status, headers: head.passthroughHeaders, body: data, isCloseDelimited } };
+        return { kind: "answer", answer: { status: head.status, headers: head.passthroughHeaders, body, isCloseDelimited, held } };
     }
 
     async function relayStream(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
@@ -191,6 +206,7 @@
         const framer = createEventFramer(sink.lastEventId);
         for await (const chunk of reply.body) {
             const framed = framer.push(chunk);
+            held.setSize(framer.heldBytes);
             if (framed.count > 0) await sink.write(framed.data, framed.count, framer.lastEventId);
             else if (framed.data.length > 0) await sink.write(framed.data, 0, framer.lastEventId);
         }
@@ -212,6 +228,6 @@
     let sizeBytes = 0;
     for await (const part of body) {
         sizeBytes += part.length;
-        if (sizeBytes > maxRefusalBytes) return;
+        if (sizeBytes > maxMessageBytes.refusal) return;
     }
 }
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -3,6 +3,7 @@
  * the only place where direct dispatches are retried.
  */
 import type { BackendServerRecord } from "../../kernel/directory.js";
+import type { HeldBytes } from "../../kernel/heldBytes.js";
 import type { BackendConnections, Host, HttpResponse, Logger } from "../../kernel/host.js";
 import { createVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
@@ -35,6 +36,8 @@
     readonly retryWindow: RetryWindow;
     readonly streamOrigins: Pick<StreamOrigins, "record" | "confirm">;
     readonly crashGuard: CrashGuard;
+    /** Counts what is held of all answers. */
+    readonly heldAnswers: HeldBytes;
     readonly log: Logger;
     /** Headers that are added to every answer. */
     readonly getAnswerHeaders: () => Headers;
@@ -113,42 +116,56 @@
     const sink = createSink();
     const crashWatch = options.crashGuard.watch(call);
     options.retryWindow.recordRequest(call.pool, host.clock.nowMs());
-    // The caller may have disconnected while the request waited.
-    while (!call.request.signal.aborted) {
-        if (!hasTimeForAttempt()) {
-            progress.verdict = createVerdict("notRun", "overloaded", "No time is left for an attempt.");
-            break;
-        }
-        const heldBackMs = call.isTrial === true ? undefined : options.crashGuard.getHeldBackMs(call);
-        if (heldBackMs !== undefined) {
-            progress.verdict = createVerdict("notRun", "heldBack", undefined, heldBackMs);
-            break;
-        }
-        await confirmVersion();
-        const placement = choosePlacementForCall();
-        if (placement === undefined) break;
-        const outcome = await makeAttempt(placement);
-        if (outcome.kind !== "failed") {
-            crashWatch.end(outcome.kind === "streamed" || outcome.answer.status < 300 ? "succeeded" : "answered");
-        }
-        if (outcome.kind === "streamed") {
-            response.end();
-            return createResult(undefined);
-        }
-        if (outcome.kind === "answer") {
-            const isFinal = outcome.answer.status < 500 || !isRepeatable(call.route);
-            if (isFinal && !response.hasStarted) return writeAnswer(outcome.answer);
-            progress.failedAnswer = outcome.answer;
-            progress.verdict = createVerdict("ran", "backendServerFailed");
-            if (isFinal) break;
+    try {
+        return await makeAttempts();
+    }
+    finally {
+        keepFailedAnswer(undefined);
+    }
+
+    async function makeAttempts(): Promise<DeliveryResult> {
+        // The caller may have disconnected while the request waited.
+        while (!call.request.signal.aborted) {
+            if (!hasTimeForAttempt()) {
+                progress.verdict = createVerdict("notRun", "overloaded", "No time is left for an attempt.");
+                break;
+            }
+            const heldBackMs = call.isTrial === true ? undefined : options.crashGuard.getHeldBackMs(call);
+            if (heldBackMs !== undefined) {
+                progress.verdict = createVerdict("notRun", "heldBack", undefined, heldBackMs);
+                break;
+            }
+            await confirmVersion();
+            const placement = choosePlacementForCall();
+            if (placement === undefined) break;
+            const outcome = await makeAttempt(placement);
+            if (outcome.kind !== "failed") {
+                crashWatch.end(outcome.kind === "streamed" || outcome.answer.status < 300 ? "succeeded" : "answered");
+            }
+            if (outcome.kind === "streamed") {
+                response.end();
+                return createResult(undefined);
+            }
+            if (outcome.kind === "answer") {
+                const isFinal = outcome.answer.status < 500 || !isRepeatable(call.route);
+                if (isFinal && !response.hasStarted) return writeAnswer(outcome.answer);
+                keepFailedAnswer(outcome.answer);
+                progress.verdict = createVerdict("ran", "backendServerFailed");
+                if (isFinal) break;
+            }
+            else progress.verdict = outcome.verdict;
+            if (!mayRetry()) break;
         }
-        else progress.verdict = outcome.verdict;
-        if (!mayRetry()) break;
+        crashWatch.end(progress.failedAnswer === undefined ? "failed" : "answered");
+        if (progress.failedAnswer !== undefined && !response.hasStarted) return writeAnswer(progress.failedAnswer);
+        if (response.hasStarted) response.abort();
+        return createResult(toFinalVerdict());
+    }
+
+    function keepFailedAnswer(answer: BufferedAnswer | undefined): void {
+        progress.failedAnswer?.held.release();
+        progress.failedAnswer = answer;
     }
-    crashWatch.end(progress.failedAnswer === undefined ? "failed" : "answered");
-    if (progress.failedAnswer !== undefined && !response.hasStarted) return writeAnswer(progress.failedAnswer);
-    if (response.hasStarted) response.abort();
-    return createResult(toFinalVerdict());
 
     // Before a stream goes on in the same answer, control tells which servers have started again at another version.
     async function confirmVersion(): Promise<void> {
@@ -200,6 +217,7 @@
             connections: options.connections,
             server,
             sink,
+            heldAnswers: options.heldAnswers,
             log: options.log,
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.recordLoad(server.backendServer, load, host.clock.nowMs()),
@@ -293,7 +311,12 @@
         const headers = { ...answer.headers, ...options.getAnswerHeaders() };
         if (answer.isCloseDelimited) response.start(answer.status, headers, true);
         else response.start(answer.status, { ...headers, "content-length": String(answer.body.length) });
-        if (answer.body.length > 0 && call.request.method !== "HEAD") await response.write(answer.body);
+        try {
+            if (answer.body.length > 0 && call.request.method !== "HEAD") await response.write(answer.body);
+        }
+        finally {
+            answer.held.release();
+        }
         response.end();
         return createResult(undefined);
     }
--- a/src/entry/direct/eventFramer.ts
+++ b/src/entry/direct/eventFramer.ts
@@ -1,6 +1,8 @@
 /** Splits a stream of server-sent events at event boundaries, so that a broken stream never delivers a partial event. */
 import { createParser } from "eventsource-parser";
 import VError from "verror";
+import { createByteCollector } from "../../kernel/byteCollector.js";
+import { maxMessageBytes } from "../../kernel/readLimits.js";
 
 /** Complete events found after one chunk. */
 export interface FramedEvents {
@@ -15,11 +17,11 @@
     push(chunk: Uint8Array): FramedEvents;
     /** True if an event has begun that is not complete. */
     isInsideEvent(): boolean;
+    /** Size of the incomplete event that the framer holds. */
+    readonly heldBytes: number;
     readonly lastEventId: string | undefined;
 }
 
-/** Limit of one event. Bytes without an event boundary beyond it are no event stream. */
-const maxEventBytes = 1024 * 1024;
 /** The longest event boundary is a blank line of CR LF after the LF of the line before. */
 const maxBoundaryBytes = 3;
 const lineFeed = 10;
@@ -27,9 +29,9 @@
 
 /** Creates a framer for a stream that resumes after `lastEventId`. */
 export function createEventFramer(lastEventId?: string): EventFramer {
-    // Chunks after the last complete event. They are joined only when the event is complete.
-    let restChunks: Uint8Array[] = [];
-    let restBytes = 0;
+    // What came after the last complete event. It is joined only when the event is complete.
+    const rest = createByteCollector();
+    let hasRestContent = false;
     let lastBytes: Uint8Array = new Uint8Array();
     let eventId = lastEventId;
     let count = 0;
@@ -50,24 +52,26 @@
                 keepRest(chunk);
                 return { data: new Uint8Array(), count };
             }
-            const complete = Buffer.concat([...restChunks, chunk.subarray(0, end)]);
-            restChunks = [];
-            restBytes = 0;
+            rest.add(chunk.subarray(0, end));
+            const complete = rest.take();
+            hasRestContent = false;
             keepRest(chunk.subarray(end));
             parser.feed(complete.toString("utf8"));
             return { data: complete, count };
         },
-        isInsideEvent: () => restChunks.some(chunk => chunk.some(byte => byte !== lineFeed && byte !== carriageReturn)),
+        isInsideEvent: () => hasRestContent,
+        get heldBytes() {
+            return rest.sizeBytes;
+        },
         get lastEventId() {
             return eventId;
         },
     };
 
     function keepRest(chunk: Uint8Array): void {
-        if (chunk.length === 0) return;
-        restChunks.push(chunk);
-        restBytes += chunk.length;
-        if (restBytes > maxEventBytes) throw new VError("an event is larger than %d bytes", maxEventBytes);
+        rest.add(chunk);
+        hasRestContent ||= chunk.some(byte => byte !== lineFeed && byte !== carriageReturn);
+        if (rest.sizeBytes > maxMessageBytes.event) throw new VError("an event is larger than %d bytes", maxMessageBytes.event);
     }
 }
 
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -8,8 +8,11 @@
 import type { ControlClient } from "../../kernel/controlClient.js";
 import { messages } from "../../kernel/diagnostics.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
+import { createHeldBytes } from "../../kernel/heldBytes.js";
+import type { HeldBytes } from "../../kernel/heldBytes.js";
 import type { BackendConnections, Host, HttpHandler, HttpRequest, HttpResponse } from "../../kernel/host.js";
 import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
+import { maxHeldAnswerBytes } from "../../kernel/readLimits.js";
 import { createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { ProcessIdentity } from "../../kernel/types.js";
 import { refuse, toVerdict } from "../../kernel/verdict.js";
@@ -65,6 +68,7 @@
     /** Time since control last answered the watch for a newer configuration. */
     getConfigurationAgeMs(): number;
     readonly capacity: Capacity;
+    readonly heldAnswers: Pick<HeldBytes, "getTotalBytes" | "getEndedCount">;
     start(): void;
     stop(): Promise<void>;
 }
@@ -100,6 +104,7 @@
     const retryWindow = createRetryWindow(options.retryRules);
     const serverLimits = createServerLimits(host.random.nextFloat);
     const serverNotices = createServerNotices();
+    const heldAnswers = createHeldBytes(maxHeldAnswerBytes, log);
     const loadExchange = createLoadExchange(host, {
         incarnation: identity.incarnation,
         loads,
@@ -166,6 +171,7 @@
         getVersion: () => configuration.version,
         getConfigurationAgeMs: () => configuration.getAgeMs(host.clock.nowMs()),
         capacity,
+        heldAnswers,
         start() {
             configuration.start(stopController.signal);
             servers.start(stopController.signal);
@@ -314,6 +320,7 @@
                 retryWindow,
                 streamOrigins,
                 crashGuard,
+                heldAnswers,
                 log,
                 getAnswerHeaders,
             });
--- a/src/entry/direct/warmUp.ts
+++ b/src/entry/direct/warmUp.ts
@@ -11,6 +11,7 @@
 import type { CommandInputs, CommandResults, ConfigurationView } from "../../kernel/messages.js";
 import { getSetDigest } from "../../kernel/objects.js";
 import type { ConfigurationObject, HttpRouteObject } from "../../kernel/objects.js";
+import { maxMessageBytes } from "../../kernel/readLimits.js";
 import { getErrorText, readAll, sleep } from "../../kernel/tasks.js";
 import type { Address } from "../../kernel/types.js";
 import { createGateway } from "./gateway.js";
@@ -110,7 +111,7 @@
             headers: protocol.createSampleRequest(head),
             body: Buffer.alloc(1_000),
         });
-        await readAll(reply.body);
+        await readAll(reply.body, maxMessageBytes.sampleAnswer);
         return reply.status === 200;
     }
     catch {
--- /dev/null
+++ b/src/kernel/heldBytes.ts
@@ -0,0 +1,92 @@
+/**
+ * Bounds the memory that all messages of one kind together hold in a process. A limit for each message is not enough: what a process can hold
+ * is shared by all of them, and a sender that misbehaves sends many. When the sum is over its limit, messages are ended that are still being
+ * read, first the largest of the sender that holds most, so that one faulty sender does not cost the messages of the others.
+ */
+import VError from "verror";
+import type { Logger } from "./host.js";
+
+/** Messages that share one limit. */
+export interface HeldBytes {
+    /** Begins to count a message. `end` is called if it has to give way to others, at most once and never after `complete` or `release`. */
+    open(sender: string, end: (error: Error) => void): HeldMessage;
+    /** Bytes that all messages hold now. */
+    getTotalBytes(): number;
+    /** Number of messages that were ended to stay within the limit. */
+    getEndedCount(): number;
+}
+
+/** The bytes of one message. */
+export interface HeldMessage {
+    /** States how many bytes the message holds now. Ends messages if the sum is over the limit, which may be this one. */
+    setSize(sizeBytes: number): void;
+    /** The message is whole. It still counts, but is not ended any more. */
+    complete(): void;
+    /** The message holds nothing any more. */
+    release(): void;
+}
+
+interface Message {
+    readonly sender: string;
+    readonly end: (error: Error) => void;
+    sizeBytes: number;
+    /** False once the message is whole or was ended. */
+    isReading: boolean;
+}
+
+/** Creates a count without messages. */
+export function createHeldBytes(maxTotalBytes: number, log: Logger): HeldBytes {
+    const messages = new Set<Message>();
+    let totalBytes = 0;
+    let endedCount = 0;
+    return {
+        open(sender, end) {
+            const message: Message = { sender, end, sizeBytes: 0, isReading: true };
+            messages.add(message);
+            return {
+                setSize(sizeBytes) {
+                    if (!messages.has(message)) return;
+                    totalBytes += sizeBytes - message.sizeBytes;
+                    message.sizeBytes = sizeBytes;
+                    while (totalBytes > maxTotalBytes && endOne());
+                },
+                complete() {
+                    message.isReading = false;
+                },
+                release: () => release(message),
+            };
+        },
+        getTotalBytes: () => totalBytes,
+        getEndedCount: () => endedCount,
+    };
+
+    /** Returns false if there is no message that can be ended. */
+    function endOne(): boolean {
+        const message = chooseMessage();
+        if (message === undefined) return false;
+        const { sender, sizeBytes } = message;
+        log.warn("A message is ended because all messages together hold too many bytes.", { sender, sizeBytes, totalBytes, maxTotalBytes });
+        endedCount++;
+        release(message);
+        message.end(new VError("all messages together hold more than %d bytes, those of %s most", maxTotalBytes, sender));
+        return true;
+    }
+
+    function chooseMessage(): Message | undefined {
+        const bytesBySender = new Map<string, number>();
+        for (const { sender, sizeBytes } of messages) bytesBySender.set(sender, (bytesBySender.get(sender) ?? 0) + sizeBytes);
+        let chosen: Message | undefined;
+        for (const message of messages) {
+            if (!message.isReading || message.sizeBytes === 0) continue;
+            const lead = chosen === undefined ? 1 : bytesBySender.get(message.sender)! - bytesBySender.get(chosen.sender)!;
+            if (lead > 0 || lead === 0 && message.sizeBytes > chosen!.sizeBytes) chosen = message;
+        }
+        return chosen;
+    }
+
+    function release(message: Message): void {
+        if (!messages.delete(message)) return;
+        message.isReading = false;
+        totalBytes -= message.sizeBytes;
+    }
+}
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -1,6 +1,8 @@
 /** Helpers for asynchronous tasks: sleeping, timeouts, notifications, periodic tasks, and reading of byte streams. */
 import { setMaxListeners } from "node:events";
 import VError from "verror";
+import { createByteCollector } from "./byteCollector.js";
+import type { HeldMessage } from "./heldBytes.js";
 import type { Cancel, Clock, Host, Timers } from "./host.js";
 
 /** Thrown if an operation does not finish within its timeout. */
@@ -147,34 +149,42 @@
     }
 }
 
-/** Default limit of a body or line that is read whole. */
-const defaultMaxBytes = 16 * 1024 * 1024;
-
 /** Splits a byte stream into lines of text. An unterminated last line is dropped. Throws if a line is longer than the limit. */
-export async function* readLines(chunks: AsyncIterable<Uint8Array>, maxBytes = defaultMaxBytes): AsyncGenerator<string> {
-    const decoder = new TextDecoder();
-    let unterminated = "";
+export async function* readLines(chunks: AsyncIterable<Uint8Array>, maxBytes: number): AsyncGenerator<string> {
+    const unterminated = createByteCollector();
     for await (const chunk of chunks) {
-        unterminated += decoder.decode(chunk, { stream: true });
-        const lines = unterminated.split("\n");
-        unterminated = lines.pop() ?? "";
-        if (unterminated.length > maxBytes) throw new VError("a line is larger than %d bytes", maxBytes);
-        yield* lines;
+        let start = 0;
+        // Only what has just arrived is searched, so that the time for a line grows with its length.
+        for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, start)) {
+            unterminated.add(chunk.subarray(start, end));
+            yield unterminated.take().toString("utf8");
+            start = end + 1;
+        }
+        unterminated.add(chunk.subarray(start));
+        if (unterminated.sizeBytes > maxBytes) throw new VError("a line is larger than %d bytes", maxBytes);
     }
 }
 
-/** Reads a byte stream to its end. Throws if it is longer than the limit, which closes the connection that it comes from. */
-export async function readAll(chunks: AsyncIterable<Uint8Array>, maxBytes = defaultMaxBytes): Promise<Uint8Array> {
-    const parts: Uint8Array[] = [];
-    let sizeBytes = 0;
+/**
+ * Reads a byte stream to its end. Throws if it is longer than the limit, which closes the connection that it comes from. `held` counts the
+ * bytes while they are read.
+ */
+export async function readAll(
+    chunks: AsyncIterable<Uint8Array>,
+    maxBytes: number,
+    held?: Pick<HeldMessage, "setSize">,
+): Promise<Uint8Array> {
+    const parts = createByteCollector();
     for await (const chunk of chunks) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > maxBytes) throw new VError("a body is larger than %d bytes", maxBytes);
-        parts.push(chunk);
+        parts.add(chunk);
+        if (parts.sizeBytes > maxBytes) throw new VError("a body is larger than %d bytes", maxBytes);
+        held?.setSize(parts.sizeBytes);
     }
-    return Buffer.concat(parts);
+    return parts.take();
 }
 
+const lineFeed = 10;
+
 /** Returns the message of an error of unknown type, for logs and verdict details. */
 export function getErrorText(error: unknown): string {
     return error instanceof Error ? error.message : String(error);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -462,6 +462,12 @@
         ...readRequestMetrics(gateway),
         { name: "lovage_entry_abandoned", help: "callers that left before their answer was complete", value: abandoned },
         { name: "lovage_entry_timer_lag_ms", help: "delay of the timers of this process", value: gateway.capacity.getLagMs() },
+        { name: "lovage_entry_held_answer_bytes", help: "bytes held of all answers", value: gateway.heldAnswers.getTotalBytes() },
+        {
+            name: "lovage_entry_ended_answers",
+            help: "answers that were ended because all together held too many bytes",
+            value: gateway.heldAnswers.getEndedCount(),
+        },
         ...readCapacityMetrics(gateway.capacity),
     ];
 }
--- a/test/absentCaller.test.ts
+++ b/test/absentCaller.test.ts
@@ -3,6 +3,7 @@
 import { test } from "tap";
 import type { HttpHandler } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
@@ -68,7 +69,7 @@
     };
     const listener = await host.network.serve({ address: "127.0.0.1:0", handler, maxBodyBytes: 1_000 });
     for (let count = 0; count < 2; count++) {
-        await readAll((await host.network.request(listener.address, { method: "GET", path: "/" })).body);
+        await readAll((await host.network.request(listener.address, { method: "GET", path: "/" })).body, maxMessageBytes.answer);
         await sleep(host.timers, 30);
     }
     t.ok(agesMs[1]! - agesMs[0]! >= 29, `ages ${agesMs.join(", ")}`);
--- a/test/backendConnections.test.ts
+++ b/test/backendConnections.test.ts
@@ -5,6 +5,7 @@
 import type { BackendConnections } from "../src/kernel/host.js";
 import { NotSentError } from "../src/kernel/host.js";
 import { nodeClock } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
@@ -27,7 +28,7 @@
 
 async function get(connections: BackendConnections, address: string): Promise<string> {
     const response = await connections.request(address, { method: "GET", path: "/" });
-    return Buffer.from(await readAll(response.body)).toString();
+    return Buffer.from(await readAll(response.body, maxMessageBytes.answer)).toString();
 }
 
 t.test("a close-delimited response that ends normally is complete", async t => {
--- a/test/directFleet.ts
+++ b/test/directFleet.ts
@@ -4,6 +4,7 @@
 import type { Control } from "../src/control/control.js";
 import type { Gateway } from "../src/entry/direct/gateway.js";
 import type { HttpHandler, HttpRequest, HttpResponse, IncomingResponse } from "../src/kernel/host.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import type { FakeVm, Simulation } from "../src/standins/fakeHost.js";
@@ -144,7 +145,7 @@
                 method: "GET",
                 path: "/config/read",
             });
-            return { status: reply.status, text: Buffer.from(await readAll(reply.body)).toString() };
+            return { status: reply.status, text: Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString() };
         },
         async heartbeat(server, controlIndex) {
             server.sequence++;
--- a/test/endlessAnswers.test.ts
+++ b/test/endlessAnswers.test.ts
@@ -8,7 +8,9 @@
 import type { FramedEvents } from "../src/entry/direct/eventFramer.js";
 import type { DirectCall } from "../src/entry/direct/types.js";
 import type { BackendServerRecord } from "../src/kernel/directory.js";
+import { createHeldBytes } from "../src/kernel/heldBytes.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxHeldAnswerBytes, maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, readLines } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
@@ -34,6 +36,7 @@
         connections,
         server: { backendServer: "w", address: `127.0.0.1:${(server.address() as net.AddressInfo).port}` } as BackendServerRecord,
         sink: { hasStarted: false, contentType: undefined, lastEventId: undefined, start: () => undefined, write: () => Promise.resolve() },
+        heldAnswers: createHeldBytes(maxHeldAnswerBytes, createSilentLogger()),
         log: createSilentLogger(),
         onLoad: () => undefined,
         onReplyHead: () => undefined,
@@ -181,10 +184,10 @@
         for (let count = 0; count < 1_000; count++) yield Buffer.alloc(65_536, "x");
         throw new Error("read to the end");
     };
-    await t.rejects(readAll(endless()), /larger than/);
+    await t.rejects(readAll(endless(), maxMessageBytes.answer), /larger than/);
     await t.rejects(
         (async () => {
-            for await (const line of readLines(endless())) t.fail(line.slice(0, 10));
+            for await (const line of readLines(endless(), maxMessageBytes.frame)) t.fail(line.slice(0, 10));
         })(),
         /larger than/,
     );
--- a/test/listenQueue.test.ts
+++ b/test/listenQueue.test.ts
@@ -9,6 +9,7 @@
 import { platformProtocol } from "../platform/requests.js";
 import type { Host, HttpHandler } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
@@ -199,7 +200,7 @@
     const body = Buffer.from(JSON.stringify(createConfiguration(1)));
     const isReady = async () => {
         const reply = await host.network.request(readyAddress!, { method: "GET", path: "/readyz" });
-        await readAll(reply.body);
+        await readAll(reply.body, maxMessageBytes.answer);
         return reply.status === 200;
     };
     const becomesReady = async () => {
--- a/test/oddAnswers.test.ts
+++ b/test/oddAnswers.test.ts
@@ -11,6 +11,7 @@
 import type * as backendConnections from "../src/kernel/backendConnections.js";
 import type { BackendConnections } from "../src/kernel/host.js";
 import { nodeClock } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
@@ -111,7 +112,7 @@
     const signal = AbortSignal.timeout(answerTimeoutMs);
     try {
         const response = await connections.request(address, { method: "GET", path: "/", headers: {}, signal });
-        await readAll(response.body);
+        await readAll(response.body, maxMessageBytes.answer);
     }
     catch {
         // Most of these answers end in an error. Here only the time counts.
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -12,8 +12,11 @@
 import { wasReset } from "../src/kernel/backendConnections.js";
 import { messages } from "../src/kernel/diagnostics.js";
 import type { BackendServerRecord } from "../src/kernel/directory.js";
+import { createHeldBytes } from "../src/kernel/heldBytes.js";
+import type { HeldBytes } from "../src/kernel/heldBytes.js";
 import type { HttpRequest } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxHeldAnswerBytes } from "../src/kernel/readLimits.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 /** A request that has reached a backend server. */
@@ -40,9 +43,12 @@
     readonly thrown: readonly unknown[];
     readonly reportedLoads: readonly ServerLoad[];
     readonly reportedLimits: readonly NamedLimit[];
+    readonly heldAnswers: HeldBytes;
     call(id: string): Promise<CallerView>;
     /** Sends requests to this number of backend servers from now on. */
     useServers(count: number): void;
+    /** Sends requests to the backend server with this index from now on. */
+    useOnlyServer(index: number): void;
     close(): Promise<void>;
 }
 
@@ -52,6 +58,7 @@
 export async function startRealDelivery(
     repeat: "idempotent" | "nonIdempotent" | "stream" | "resumableStream",
     respond: (arrival: Arrival) => void,
+    options: { readonly maxHeldAnswerBytes?: number; readonly maxConnections?: number; } = {},
 ): Promise<RealDelivery> {
     const host = createNodeHost({ fleetSecret: "s", createLogger: createSilentLogger });
     const arrivals: Arrival[] = [];
@@ -60,11 +67,12 @@
     const reportedLoads: ServerLoad[] = [];
     const reportedLimits: NamedLimit[] = [];
     const servers = await Promise.all([startServer("w1"), startServer("w2")]);
-    let usedServers = 1;
-    const connections = host.network.createBackendConnections({ connectTimeoutMs: 500, maxConnections: 4 });
+    let usedServers = servers.slice(0, 1);
+    const connections = host.network.createBackendConnections({ connectTimeoutMs: 500, maxConnections: options.maxConnections ?? 4 });
     const tracker = createLoadTracker();
     const limits = createServerLimits(() => 0.5);
     const retryWindow = createRetryWindow({ windowMs: 10_000, ratio: 1, slack: 10 });
+    const heldAnswers = createHeldBytes(options.maxHeldAnswerBytes ?? maxHeldAnswerBytes, createSilentLogger());
     const listener = await host.network.serve({
         address: "127.0.0.1:0",
         maxBodyBytes: 1_000,
@@ -74,7 +82,7 @@
                     protocol: platformProtocol,
                     connections,
                     servers: {
-                        listPool: () => servers.slice(0, usedServers).map(server => server.record),
+                        listPool: () => usedServers.map(server => server.record),
                         hasSynced: () => true,
                         start: () => undefined,
                     },
@@ -105,6 +113,7 @@
                         watch: () => ({ recordBreak: () => undefined, end: () => undefined }),
                         start: () => undefined,
                     },
+                    heldAnswers,
                     log: createSilentLogger(),
                     getAnswerHeaders: () => ({}),
                 });
@@ -125,9 +134,13 @@
         thrown,
         reportedLoads,
         reportedLimits,
+        heldAnswers,
         call: id => sendCall(listener.address, id),
         useServers(count) {
-            usedServers = count;
+            usedServers = servers.slice(0, count);
+        },
+        useOnlyServer(index) {
+            usedServers = servers.slice(index, index + 1);
         },
         async close() {
             connections.close();
--- a/test/realHost.test.ts
+++ b/test/realHost.test.ts
@@ -8,6 +8,7 @@
 import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
 import type { Host } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll, sleep } from "../src/kernel/tasks.js";
 import { createAdministrationClient } from "../src/operator/client.js";
 import { findFreeAddress } from "../src/standins/freeAddress.js";
@@ -102,7 +103,7 @@
     }
     const address = entry.listeners[1]!.address;
     const reply = await send(host, address, "hello");
-    const completion = JSON.parse(Buffer.from(await readAll(reply.body)).toString("utf8")) as {
+    const completion = JSON.parse(Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString("utf8")) as {
         choices: { message: { content: string; }; }[];
     };
     t.match(reply, { status: 200, headers: { "lovage-verdict": "ran" } });
--- a/test/unaskedAnswers.test.ts
+++ b/test/unaskedAnswers.test.ts
@@ -3,6 +3,7 @@
 import { test } from "tap";
 import { createNodeBackendConnections } from "../src/kernel/backendConnections.js";
 import { nodeClock } from "../src/kernel/hostNode.js";
+import { maxMessageBytes } from "../src/kernel/readLimits.js";
 import { readAll } from "../src/kernel/tasks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { createSealedHead, startRealDelivery } from "./realDelivery.js";
@@ -33,7 +34,7 @@
         state,
         async request() {
             const reply = await connections.request(address, { method: "POST", path: "/", body: Buffer.from("body") });
-            return `${reply.status} ${Buffer.from(await readAll(reply.body)).toString()}`;
+            return `${reply.status} ${Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString()}`;
         },
         close() {
             connections.close();
