--- a/src/agent/adapters/modelEngine.ts
+++ b/src/agent/adapters/modelEngine.ts
@@ -5,7 +5,7 @@
 import type { Host, IncomingResponse } from "../../kernel/host.js";
 import type { EngineOrder } from "../../kernel/messages.js";
 import { maxMessageBytes } from "../../kernel/readLimits.js";
-import { getErrorText, readAll } from "../../kernel/tasks.js";
+import { getErrorText, readAll, readStart } from "../../kernel/tasks.js";
 import type { Address, TokenUsage } from "../../kernel/types.js";
 import type { BackendServerAdapter, BackendServerLoad, ResponseSink, RunOutcome } from "../types.js";
 
@@ -24,6 +24,8 @@
 
 const enginePriorities = { interactive: 0, batch: 1 } as const;
 const serverErrorStatus = 500;
+/** Beginning of an error answer that is passed on with its status. */
+const maxDetailBytes = 200;
 
 /** Creates an adapter for the engine at an address. */
 export function createModelEngineAdapter(host: Host, address: Address): BackendServerAdapter {
@@ -83,7 +85,7 @@
 }
 
 async function toFailedOutcome(reply: IncomingResponse): Promise<RunOutcome> {
-    const text = Buffer.from(await readAll(reply.body, maxMessageBytes.answer)).toString("utf8").slice(0, 200);
+    const text = Buffer.from(await readStart(reply.body, maxDetailBytes)).toString("utf8");
     const kind = reply.status >= serverErrorStatus && reply.status !== 503 ? "broken" : "refused";
     return { kind, detail: `status ${reply.status}: ${text}` };
 }
@@ -99,8 +101,13 @@
     let events: string[] = [];
     const parser = createParser({ onEvent: event => events.push(event.data) });
     const decoder = new TextDecoder();
+    let bytesSinceEvent = 0;
     for await (const bytes of reply.body) {
         parser.feed(decoder.decode(bytes, { stream: true }));
+        bytesSinceEvent = events.length > 0 ? 0 : bytesSinceEvent + bytes.length;
+        if (bytesSinceEvent > maxMessageBytes.event) {
+            return { kind: "broken", detail: `an event is larger than ${maxMessageBytes.event} bytes` };
+        }
         const arrived = events;
         events = [];
         for (const data of arrived) {
--- a/src/kernel/tasks.ts
+++ b/src/kernel/tasks.ts
@@ -183,6 +183,16 @@
     return parts.take();
 }
 
+/** Reads a byte stream up to the limit and returns that much of it. The rest is not read, which closes the connection that it comes from. */
+export async function readStart(chunks: AsyncIterable<Uint8Array>, maxBytes: number): Promise<Uint8Array> {
+    const parts = createByteCollector();
+    for await (const chunk of chunks) {
+        parts.add(chunk);
+        if (parts.sizeBytes >= maxBytes) break;
+    }
+    return parts.take().subarray(0, maxBytes);
+}
+
 const lineFeed = 10;
 
 /** Returns the message of an error of unknown type, for logs and verdict details. */
