Free half of the room at once when answers hold too many bytes

Cause: messages were ended one at a time, so 40 endless answers filled the room about as often as there were answers, and the entry read for that long. Change: messages of the sender that holds most are ended, the largest first, until half of the room is free.

--- a/src/kernel/heldBytes.ts
+++ b/src/kernel/heldBytes.ts
@@ -1,7 +1,8 @@
 /**
  * Bounds the memory that all messages of one kind together hold in a process. A limit for each message is not enough: what a process can hold
  * is shared by all of them, and a sender that misbehaves sends many. When the sum is over its limit, messages are ended that are still being
- * read, first the largest of the sender that holds most, so that one faulty sender does not cost the messages of the others.
+ * read, of the sender that holds most, the largest first. So one faulty sender does not cost the messages of the others. Half of the room is
+ * made free at once: what a faulty sender sends takes time to read, which all others wait for.
  */
 import VError from "verror";
 import type { Logger } from "./host.js";
@@ -48,7 +49,7 @@
                     if (!messages.has(message)) return;
                     totalBytes += sizeBytes - message.sizeBytes;
                     message.sizeBytes = sizeBytes;
-                    while (totalBytes > maxTotalBytes && endOne());
+                    while (totalBytes > maxTotalBytes && makeRoom());
                 },
                 complete() {
                     message.isReading = false;
@@ -60,28 +61,39 @@
         getEndedCount: () => endedCount,
     };
 
-    /** Returns false if there is no message that can be ended. */
-    function endOne(): boolean {
-        const message = chooseMessage();
-        if (message === undefined) return false;
+    /** Ends messages of the sender that holds most, until half of the limit is free. Returns false if there is none that can be ended. */
+    function makeRoom(): boolean {
+        const sender = findLargestSender();
+        const candidates = [...messages].filter(message => isCandidate(message) && message.sender === sender);
+        for (const message of candidates.sort((left, right) => right.sizeBytes - left.sizeBytes)) {
+            if (totalBytes <= maxTotalBytes / 2) break;
+            endMessage(message);
+        }
+        return candidates.length > 0;
+    }
+
+    function endMessage(message: Message): void {
         const { sender, sizeBytes } = message;
         log.warn("A message is ended because all messages together hold too many bytes.", { sender, sizeBytes, totalBytes, maxTotalBytes });
         endedCount++;
         release(message);
         message.end(new VError("all messages together hold more than %d bytes, those of %s most", maxTotalBytes, sender));
-        return true;
     }
 
-    function chooseMessage(): Message | undefined {
+    /** Returns the sender whose messages hold most, among those with a message that can be ended. */
+    function findLargestSender(): string | undefined {
         const bytesBySender = new Map<string, number>();
         for (const { sender, sizeBytes } of messages) bytesBySender.set(sender, (bytesBySender.get(sender) ?? 0) + sizeBytes);
-        let chosen: Message | undefined;
+        let largest: string | undefined;
         for (const message of messages) {
-            if (!message.isReading || message.sizeBytes === 0) continue;
-            const lead = chosen === undefined ? 1 : bytesBySender.get(message.sender)! - bytesBySender.get(chosen.sender)!;
-            if (lead > 0 || lead === 0 && message.sizeBytes > chosen!.sizeBytes) chosen = message;
+            if (!isCandidate(message)) continue;
+            if (largest === undefined || bytesBySender.get(message.sender)! > bytesBySender.get(largest)!) largest = message.sender;
         }
-        return chosen;
+        return largest;
+    }
+
+    function isCandidate(message: Message): boolean {
+        return message.isReading && message.sizeBytes > 0;
     }
 
     function release(message: Message): void {
