Serve routes under /rpc/ where a server has no procedures

Cause: every HTTP server kept the path for the fleet's calls, also the entry's server for callers, which has none. Change: only a server with procedures looks at that path. Not changed: an entry with agents serves callers and the fleet on one address, where /rpc/ stays the fleet's.

--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -17,6 +17,7 @@
 import { acceptRpcUpgrades } from "./rpcUpgrade.js";
 import type { RpcUpgrades } from "./rpcUpgrade.js";
 
+const rpcBasePath = "/rpc/";
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 30_000;
 const closeGraceMs = 500;
@@ -45,7 +46,7 @@
     const { host, port } = parseAddress(options.address);
     const rpc = options.router === undefined ? undefined : createHTTPHandler({
         router: options.router,
-        basePath: "/rpc/",
+        basePath: rpcBasePath,
         allowBatching: true,
         allowMethodOverride: true,
         maxBodySize: options.maxBodyBytes,
@@ -53,8 +54,9 @@
     const connections = new WeakMap<Socket, Connection>();
     const heldBodies = createHeldBytes(Math.max(maxHeldRequestBytes, options.maxBodyBytes), log);
     const listener: http.RequestListener = (incoming, outgoing) => {
-        if (incoming.url?.startsWith("/rpc/")) {
-            if (rpc === undefined || !isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
+        // A server without procedures has no path of its own: a route for callers may lead through any of them.
+        if (rpc !== undefined && incoming.url?.startsWith(rpcBasePath)) {
+            if (!isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
                 outgoing.writeHead(401).end();
                 return;
             }
