Let no key in after a change that removes the last client account

Cause: the gateway took a configuration without client accounts for one without authentication, and the platform's decoder dropped the difference between an empty list and none.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -296,7 +296,9 @@
     }
 
     function findAccount(head: RequestHead, route: HttpRouteObject): ClientAccountObject | undefined {
-        const hasAccounts = configuration.getObjects().list("clientAccount").length > 0;
+        const objects = configuration.getObjects();
+        // A policy is there for the sake of client accounts, also after the last one was removed: then no key is valid.
+        const hasAccounts = objects.list("policy").length > 0 || objects.list("clientAccount").length > 0;
         const account = head.accountKey === undefined ? undefined : configuration.findAccount(head.accountKey);
         if (account === undefined && hasAccounts && !route.isPublic) refuse("unauthenticated");
         return account;
--- a/test/direct.test.ts
+++ b/test/direct.test.ts
@@ -30,6 +30,20 @@
     t.equal((await simulation.runUntil(fleet.call(0, { path: "/safe/1", id: "d", tokens: "many" }))).status, 400);
 });
 
+test("after a change that removes the last client account no key is valid, and public routes are served", async t => {
+    const fleet = await createDirectFleet(15);
+    const { simulation } = fleet;
+    t.equal(await simulation.runUntil(fleet.replace(0, createConfiguration(2, { tenants: [] }))), 200);
+    await simulation.advance(2_000);
+    for (const key of ["key-1", "never-held"]) {
+        t.equal((await simulation.runUntil(fleet.call(0, { path: "/safe/1", id: `a-${key}`, key }))).status, 401, key);
+    }
+    t.equal((await simulation.runUntil(fleet.call(0, { path: "/open/1", id: "b", key: "never-held" }))).status, 200);
+    t.equal(await simulation.runUntil(fleet.replace(0, createConfiguration(3, { tenants: undefined }))), 200);
+    await simulation.advance(2_000);
+    t.equal((await simulation.runUntil(fleet.call(0, { path: "/safe/1", id: "c", key: "never-held" }))).status, 200);
+});
+
 test("a non-idempotent request is not retried when its answer is lost", async t => {
     const fleet = await createDirectFleet(14);
     for (const server of fleet.servers) {
