Never end a small message for room

Found by reading the bound as the one who is hit by it: whole answers that their callers have not read count and can't be ended, so six of them of 8 MiB would have ended every other answer at once, however small; likewise large bodies of requests every small request. Change: messages below 64 KiB are not ended. Their number is bounded by the connections. Test: heldAnswers, 'a small message is not ended': failed before this change, passes now.

--- a/src/kernel/heldBytes.ts
+++ b/src/kernel/heldBytes.ts
@@ -35,6 +35,9 @@
     isReading: boolean;
 }
 
+/** Smaller messages are not ended: their number is bounded by that of the connections, and ending them would free little. */
+export const minEndedBytes = 64 * 1024;
+
 /** Creates a count without messages. */
 export function createHeldBytes(maxTotalBytes: number, log: Logger): HeldBytes {
     const messages = new Set<Message>();
@@ -93,7 +96,7 @@
     }
 
     function isCandidate(message: Message): boolean {
-        return message.isReading && message.sizeBytes > 0;
+        return message.isReading && message.sizeBytes >= minEndedBytes;
     }
 
     function release(message: Message): void {
