Name what becomes of a whole answer's count

Reading the diff as a newcomer: 'isHeldOn' did not say that the delivery releases the count; a comment on the parser said 'without it' of something that it had not named. No change of behaviour.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -92,7 +92,8 @@
         endedForRoom = error;
         abortController.abort();
     });
-    let isHeldOn = false;
+    // A whole answer is released by the delivery, which writes it.
+    let isHandedOver = false;
     try {
         const metadata: DispatchMetadata = {
             backendServer: server.backendServer,
@@ -109,7 +110,7 @@
             signal: abortController.signal,
         });
         const outcome = await processReply(reply);
-        isHeldOn = outcome.kind === "answer";
+        isHandedOver = outcome.kind === "answer";
         return outcome;
     }
     catch (error) {
@@ -123,7 +124,7 @@
         return createFailure("mayHaveRun", "outcomeUnknown", "broken", getErrorText(error));
     }
     finally {
-        if (!isHeldOn) held.release();
+        if (!isHandedOver) held.release();
         cancelTimer();
         call.endSignal.removeEventListener("abort", endInTime);
         call.request.signal.removeEventListener("abort", onCallerDisconnect);
--- a/src/kernel/readWatch.ts
+++ b/src/kernel/readWatch.ts
@@ -41,7 +41,7 @@
     const destroySocket = socket.destroy.bind(socket);
     socket.destroy = error => {
         destroySocket(error);
-        // undici takes this as any error of its parser. Without it, the parser goes on to the end of what was read, with an error for each line.
+        // undici catches this like any error of its parser. Otherwise the parser continues to the end of what was read, with an error for each line.
         if (isParsing && error !== undefined && "code" in error && error.code === headersOverflowCode) throw error;
         return socket;
     };
