Log how far each attempt got and what shows that it has not run

"An attempt failed." had a verdict and a text, refusals did not name the attempts before them, and an error answer of a server was logged as "answered".

Change: each attempt has a trace (`attemptTrace.ts`): its stage (notSent, sent, answered), the age of its connection and the answers before on it, status and seal of the answer, and the evidence that the request has not run (notSent, header, misdirected). "An attempt failed." has its fields; "A request ended." and "A request was refused." have one word for each failed attempt, and the first has the status that was passed on.

No decision changed.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -9,6 +9,8 @@
 import { forEachPart, getErrorText, readAll } from "../../kernel/tasks.js";
 import { createVerdict, VerdictError } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
+import { createAttemptRecorder } from "./attemptTrace.js";
+import type { AttemptTrace } from "./attemptTrace.js";
 import { createEventFramer } from "./eventFramer.js";
 import type { DispatchOutcome } from "./loadTracker.js";
 import { isStream } from "./types.js";
@@ -17,6 +19,8 @@
 /** A complete answer whose body was buffered. */
 export interface BufferedAnswer {
     readonly status: number;
+    /** True when the answer carries the backend server's seal. */
+    readonly isSealed: boolean;
     readonly headers: Headers;
     readonly body: Uint8Array;
     /** True when the body is delimited by the end of the connection instead of a content length or chunked encoding. */
@@ -40,6 +44,7 @@
     readonly end: DispatchOutcome;
     /** False if no part of the request was sent. */
     readonly isSent: boolean;
+    readonly trace: AttemptTrace;
 }
 
 /** Receives the events of a stream. */
@@ -80,6 +85,7 @@
 export async function runAttempt(host: Host, call: DirectCall, options: AttemptOptions): Promise<AttemptOutcome> {
     const { protocol, connections, server, sink } = options;
     const abortController = new AbortController();
+    const recorder = createAttemptRecorder();
     const remainingMs = call.deadlineMs - host.clock.nowMs();
     let hasTimedOut = false;
     const endInTime = () => {
@@ -112,6 +118,7 @@
             body: call.request.body.length > 0 || call.request.headers["transfer-encoding"] !== undefined ? call.request.body : undefined,
             signal: abortController.signal,
             onSurplus: options.onSurplus,
+            onSent: recorder.recordSent,
         });
         const outcome = await processReply(reply);
         isHandedOver = outcome.kind === "answer";
@@ -120,6 +127,7 @@
     catch (error) {
         abortController.abort();
         if (error instanceof NotSentError) {
+            recorder.recordNotRun("notSent");
             return { ...createFailure("notRun", "noBackendServer", "unreachable", getErrorText(error)), isSent: false };
         }
         if (endedForRoom !== undefined) return createFailure("mayHaveRun", "outcomeUnknown", "failed", getErrorText(endedForRoom));
@@ -139,6 +147,7 @@
 
     async function processReply(reply: IncomingResponse): Promise<AttemptOutcome> {
         const head = protocol.parseReply(reply.status, reply.headers);
+        recorder.recordHead(head);
         const doubt = findDoubt(head, reply);
         if (doubt !== undefined) {
             abortController.abort();
@@ -147,6 +156,7 @@
         if (head.load !== undefined) options.onLoad(head.load);
         if (!head.isMisdirected && head.requestId !== undefined) options.onReplyHead(head);
         if (head.isMisdirected || head.isNotRun) {
+            recorder.recordNotRun(head.isNotRun ? "header" : "misdirected");
             if (head.requestId === undefined) abortController.abort();
             else await discardRefusal(reply);
             const code = head.isMisdirected ? "staleIncarnation" : "backendServerRefused";
@@ -206,7 +216,8 @@
         const body = await readAll(reply.body, maxMessageBytes.answer, held);
         held.complete();
         const isCloseDelimited = reply.isCloseDelimited === true;
-        return { kind: "answer", answer: { status: head.status, headers: head.passthroughHeaders, body, isCloseDelimited, held } };
+        const { status, isSealed, passthroughHeaders: headers } = head;
+        return { kind: "answer", answer: { status, isSealed, headers, body, isCloseDelimited, held } };
     }
 
     async function relayStream(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
@@ -222,7 +233,7 @@
     }
 
     function createFailure(kind: Verdict["kind"], code: MessageCode, end: DispatchOutcome, detail?: string): FailedAttempt {
-        return { kind: "failed", verdict: createVerdict(kind, code, detail), end, isSent: true };
+        return { kind: "failed", verdict: createVerdict(kind, code, detail), end, isSent: true, trace: recorder.read() };
     }
 }
 
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -12,6 +12,8 @@
 import type { NodeConfiguration } from "../nodeConfiguration.js";
 import { runAttempt } from "./attempt.js";
 import type { AttemptOutcome, BufferedAnswer, StreamSink } from "./attempt.js";
+import { getTraceFields } from "./attemptTrace.js";
+import type { AttemptTrace } from "./attemptTrace.js";
 import type { CrashGuard } from "./crashGuard.js";
 import type { LoadExchange } from "./loadExchange.js";
 import type { LoadTracker } from "./loadTracker.js";
@@ -71,6 +73,10 @@
     readonly attempts: number;
     /** Last placement, for the log. */
     readonly placement?: Placement;
+    /** What the attempts without an answer did, in their order, for the log. */
+    readonly failedAttempts: readonly AttemptTrace[];
+    /** Status of the backend server's answer that was written. */
+    readonly answerStatus?: number;
 }
 
 interface Progress {
@@ -81,6 +87,8 @@
     possibleRuns: number;
     answeredAtMs: number | undefined;
     placement: Placement | undefined;
+    readonly failedAttempts: AttemptTrace[];
+    answerStatus: number | undefined;
     dispatches: number;
     /** True when a dispatch has reached a backend server, so that another one adds to the load. */
     hasReachedServer: boolean;
@@ -117,6 +125,8 @@
         possibleRuns: 0,
         answeredAtMs: undefined,
         placement: undefined,
+        failedAttempts: [],
+        answerStatus: undefined,
         dispatches: 0,
         hasReachedServer: false,
         deliveredEvents: 0,
@@ -258,7 +268,10 @@
         options.loads.end(server.backendServer, dispatch, end, host.clock.nowMs());
         if (outcome.kind !== "failed" || outcome.verdict.kind !== "notRun") progress.possibleRuns++;
         if (outcome.kind !== "failed" || outcome.isSent) progress.hasReachedServer = true;
-        if (outcome.kind === "failed") logFailure(placement, outcome.verdict);
+        if (outcome.kind === "failed") {
+            progress.failedAttempts.push(outcome.trace);
+            logFailure(placement, outcome.verdict, outcome.trace);
+        }
         if (end === "unreachable" || end === "broken") {
             options.serverLimits.recordBrokenConnection(server.backendServer, host.clock.nowMs());
         }
@@ -267,7 +280,8 @@
             crashWatch.recordBreak(server, progress.deliveredEvents - eventsBefore);
         }
         if (outcome.kind === "answer" && end === "failed") {
-            logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`));
+            const { status, isSealed } = outcome.answer;
+            logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${status}`), { stage: "answered", status, isSealed });
         }
         return outcome;
     }
@@ -299,7 +313,7 @@
         options.log.warn("A backend server is ejected because it keeps sending surplus bytes.", { backendServer, pool, ejectionMs });
     }
 
-    function logFailure(placement: Placement, verdict: Verdict): void {
+    function logFailure(placement: Placement, verdict: Verdict, trace: AttemptTrace): void {
         options.log.info("An attempt failed.", {
             requestId: call.head.requestId,
             route: call.route.name,
@@ -308,6 +322,7 @@
             verdict: verdict.kind,
             code: verdict.code,
             detail: verdict.detail,
+            ...getTraceFields(trace),
             expectedStartMs: Math.round(placement.expectedStartMs),
             leftMs: Math.round(call.deadlineMs - host.clock.nowMs()),
             events: progress.deliveredEvents,
@@ -342,6 +357,7 @@
     }
 
     async function writeAnswer(answer: BufferedAnswer): Promise<DeliveryResult> {
+        progress.answerStatus = answer.status;
         const headers = { ...answer.headers, ...options.getAnswerHeaders() };
         if (answer.isCloseDelimited) response.start(answer.status, headers, true);
         else response.start(answer.status, { ...headers, "content-length": String(answer.body.length) });
@@ -356,7 +372,7 @@
     }
 
     function createResult(verdict: Verdict | undefined): DeliveryResult {
-        const { possibleRuns, answeredAtMs, deliveredEvents, dispatches, placement } = progress;
+        const { possibleRuns, answeredAtMs, deliveredEvents, dispatches, placement, failedAttempts, answerStatus } = progress;
         return {
             verdict,
             mayHaveRun: possibleRuns > 0,
@@ -365,6 +381,8 @@
             deliveredEvents,
             attempts: dispatches,
             placement,
+            failedAttempts,
+            answerStatus,
         };
     }
 
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -427,7 +427,7 @@
         requestLog.recordCompletion(call, delivery, getBilledTokens(generation, delivery, tokensPerEvent), reservedAtMs);
         if (delivery.verdict !== undefined && !response.hasStarted) {
             const { request, arrivedAtMs, head: { requestId } } = call;
-            writeRefusal({ request, requestId, arrivedAtMs }, response, delivery.verdict);
+            writeRefusal({ request, requestId, arrivedAtMs, failedAttempts: delivery.failedAttempts }, response, delivery.verdict);
         }
     }
 
--- a/src/entry/direct/requestLog.ts
+++ b/src/entry/direct/requestLog.ts
@@ -2,6 +2,7 @@
 import type { Host, HttpRequest } from "../../kernel/host.js";
 import type { Verdict } from "../../kernel/verdict.js";
 import type { EntryStatistics } from "../statistics.js";
+import type { AttemptTrace } from "./attemptTrace.js";
 import { getReservationTokens } from "./billing.js";
 import type { DeliveryResult } from "./delivery.js";
 import type { DirectCall } from "./types.js";
@@ -12,6 +13,8 @@
     /** Absent if the request could not be read. */
     readonly requestId: string | undefined;
     readonly arrivedAtMs: number;
+    /** What attempts did before the request ended. Absent if none was made. */
+    readonly failedAttempts?: readonly AttemptTrace[];
 }
 
 /** Records the ends of requests. */
@@ -46,6 +49,8 @@
                 route: call.route.name,
                 account: call.account?.name,
                 outcome: delivery.verdict?.code ?? "answered",
+                status: delivery.answerStatus,
+                failedAttempts: summarizeAttempts(delivery.failedAttempts),
                 attempts: delivery.attempts,
                 events: delivery.deliveredEvents,
                 billedTokens,
@@ -72,7 +77,7 @@
                 tookMs: Math.round(host.clock.nowMs() - arrivedAtMs),
             });
         },
-        recordRefusal({ request, requestId, arrivedAtMs }, verdict) {
+        recordRefusal({ request, requestId, arrivedAtMs, failedAttempts }, verdict) {
             statistics.recordRefusal(verdict.code);
             log.info("A request was refused.", {
                 requestId,
@@ -80,6 +85,7 @@
                 verdict: verdict.kind,
                 code: verdict.code,
                 detail: verdict.detail,
+                failedAttempts: summarizeAttempts(failedAttempts),
                 retryAfterMs: roundOptional(verdict.retryAfterMs),
                 version: getVersion(),
                 configurationAgeMs: Math.round(getConfigurationAgeMs()),
@@ -89,6 +95,12 @@
     };
 }
 
+/** One word for each attempt: what shows that it has not run the request or, without such evidence, how far it got. */
+function summarizeAttempts(traces: readonly AttemptTrace[] = []): string | undefined {
+    if (traces.length === 0) return undefined;
+    return traces.map(trace => trace.notRunEvidence ?? trace.stage).join(" ");
+}
+
 function roundOptional(value: number | undefined): number | undefined {
     return value === undefined ? undefined : Math.round(value);
 }
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -27,6 +27,8 @@
     onSurplus: (() => void) | undefined;
     /** Number of responses that have begun on the current socket. */
     responses: number;
+    /** Time at which the current socket was connected. */
+    openedAtMs: number;
     isBusy: boolean;
 }
 
@@ -54,7 +56,9 @@
                 request.signal?.removeEventListener("abort", discard);
                 release(isReusable);
             };
-            const sending = watchSending(request.signal);
+            const reportSent = () =>
+                request.onSent?.({ ageMs: clock.nowMs() - connection.openedAtMs, earlierAnswers: connection.responses });
+            const sending = watchSending(request.signal, reportSent);
             try {
                 if (connection.client.stats.connected) await leavePollPhase();
                 const response = await send(connection, request, sending);
@@ -100,6 +104,7 @@
             socketError: undefined,
             onSurplus: undefined,
             responses: 0,
+            openedAtMs: 0,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
                 keepAliveTimeout: idleTimeoutMs,
@@ -110,6 +115,7 @@
                         if (error !== null || socket === null) return callback(error ?? new Error("no socket"), null);
                         connection.socketError = undefined;
                         connection.responses = 0;
+                        connection.openedAtMs = clock.nowMs();
                         connection.socket = socket as Socket;
                         connection.watch = watchReads(socket as Socket, {
                             address,
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -120,6 +120,15 @@
     readonly signal?: AbortSignal;
     /** Called if bytes arrive after the complete response. Connections to backend servers report this and are closed then. */
     readonly onSurplus?: () => void;
+    /** Called when the request is handed to an established connection. Connections to backend servers report this. */
+    readonly onSent?: (connection: SentConnection) => void;
+}
+
+/** Connection that a request was handed to. */
+export interface SentConnection {
+    readonly ageMs: number;
+    /** Number of answers that came on it before. */
+    readonly earlierAnswers: number;
 }
 
 /** Takes a part of a body. Returns a promise if it can take no more until that resolves. */
--- a/src/kernel/sendWatch.ts
+++ b/src/kernel/sendWatch.ts
@@ -16,8 +16,8 @@
     readonly interceptor: Dispatcher.DispatcherComposeInterceptor;
 }
 
-/** Starts to follow a request that ends when the signal is aborted. */
-export function watchSending(signal: AbortSignal | undefined): SendWatch {
+/** Starts to follow a request that ends when the signal is aborted. `onSent` is called when the request is handed to a connection. */
+export function watchSending(signal: AbortSignal | undefined, onSent?: () => void): SendWatch {
     let isHandedOver = false;
     return {
         get mayBeSent() {
@@ -30,6 +30,7 @@
                 onConnect(abort) {
                     if (isHandedOver) return abort(new VError("the connection was closed after the request was sent"));
                     isHandedOver = true;
+                    onSent?.();
                     handler.onConnect?.(abort);
                 },
                 onHeaders: (...head) => handler.onHeaders!(...head),
--- a/test/admissionEntry.test.ts
+++ b/test/admissionEntry.test.ts
@@ -139,7 +139,7 @@
         return Math.round(endMs - startMs);
     };
     t.equal(predictLengthMs(createStreamCall(100, 200)), 0, "nothing is known of the server");
-    const delivery = { mayHaveRun: true, hasAnswered: true, answeredAtMs: 0, deliveredEvents: 51, attempts: 1 };
+    const delivery = { mayHaveRun: true, hasAnswered: true, answeredAtMs: 0, deliveredEvents: 51, attempts: 1, failedAttempts: [] };
     const placement = { server, prefillTokens: 0, queuedTokens: 0, expectedStartMs: 0 };
     predictor.recordEnd(createStreamCall(undefined, 200), { ...delivery, placement }, 2, 2_000);
     t.equal(predictLengthMs(createStreamCall(100, 200)), 49 * 40, "hint");
--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -51,6 +51,8 @@
     useServers(count: number): void;
     /** Sends requests to the backend server with this index from now on. */
     useOnlyServer(index: number): void;
+    /** Lets the backend server with this index refuse connections from now on. */
+    stopServer(index: number): void;
     close(): Promise<void>;
 }
 
@@ -154,6 +156,7 @@
         useOnlyServer(index) {
             usedServers = servers.slice(index, index + 1);
         },
+        stopServer: index => servers[index]!.close(),
         async close() {
             connections.close();
             for (const server of servers) server.close();
