Known red: requests that ran are answered 503, 429 or 408, with real processes under faults

At the end the ledger compares what each server ran with what each caller was told: refused and ran, ran twice, two servers at once, wrong answer, events out of order.

--- /dev/null
+++ b/test/soakLedger.ts
@@ -0,0 +1,134 @@
+/** Compares what each server ran with what each caller was told. */
+import { mayRepeat, routeShapes } from "./soakTypes.js";
+import type { RouteKind, Run, Told } from "./soakTypes.js";
+
+/** A promise of the fleet that was broken. */
+export interface Violation {
+    readonly rule: "refusedRan" | "ranTwice" | "twoServersAtOnce" | "wrongAnswer" | "brokenOrder";
+    readonly attemptId: string;
+    readonly detail: string;
+}
+
+/** Collects runs and answers, and checks them. */
+export interface Ledger {
+    begin(run: Omit<Run, "endedAtMs">): Run;
+    tell(told: Told): void;
+    /** Returns the attempts that a caller has sent, whatever became of them. */
+    readonly sentKinds: Map<string, RouteKind>;
+    /** Records a time span in which the connection between the fleet and a server, or the process of an entry, was disturbed. */
+    disturb(name: string, fromMs: number, untilMs: number): void;
+    /** Entry that an attempt was sent to. */
+    readonly entries: Map<string, string>;
+    check(): readonly Violation[];
+    count(): { readonly told: number; readonly runs: number; readonly byStatus: Readonly<Record<string, number>>; };
+}
+
+const promiseStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** A stream may run at two servers for this time while it moves from one to the other. */
+const overlapMs = 400;
+/** Time after a disturbance within which a process cannot be expected to act. */
+const contactMs = 3_000;
+
+interface Disturbance {
+    readonly name: string;
+    readonly fromMs: number;
+    readonly untilMs: number;
+}
+
+/** Creates an empty ledger. */
+export function createLedger(): Ledger {
+    const runs: Run[] = [];
+    const answers: Told[] = [];
+    const disturbances: Disturbance[] = [];
+    const sentKinds = new Map<string, RouteKind>();
+    const entries = new Map<string, string>();
+    return {
+        sentKinds,
+        entries,
+        begin(start) {
+            const run: Run = { ...start, endedAtMs: undefined };
+            runs.push(run);
+            return run;
+        },
+        tell: told => void answers.push(told),
+        disturb: (name, fromMs, untilMs) => void disturbances.push({ name, fromMs, untilMs }),
+        check: () => [...findRefusedRuns(), ...findSecondRuns(), ...findOverlaps(), ...answers.flatMap(findWrongAnswer)],
+        count() {
+            const byStatus: Record<string, number> = {};
+            for (const { status } of answers) byStatus[status ?? "none"] = (byStatus[status ?? "none"] ?? 0) + 1;
+            return { told: answers.length, runs: runs.length, byStatus };
+        },
+    };
+
+    function findRefusedRuns(): Violation[] {
+        const runsById = groupBy(runs, run => run.attemptId);
+        return answers.filter(told => told.status !== undefined && promiseStatuses.has(told.status) && !mayRepeat(told.kind)).flatMap(
+            told =>
+                (runsById.get(told.attemptId) ?? []).map(run => ({
+                    rule: "refusedRan" as const,
+                    attemptId: told.attemptId,
+                    detail:
+                        `${told.kind} at ${told.entry}: ${told.status}, ran at ${run.server} (${run.answer}) from ${run.startedAtMs}; sent at ${told.sentAtMs}, told at ${told.endedAtMs}`,
+                })),
+        );
+    }
+
+    function findSecondRuns(): Violation[] {
+        return [...groupBy(runs, run => run.attemptId)].flatMap(([attemptId, all]) => {
+            const kind = sentKinds.get(attemptId);
+            if (kind === undefined || mayRepeat(kind) || all.length < 2) return [];
+            const detail = all.map(run => `${run.server} (${run.answer}) from ${run.startedAtMs}`).join(", ");
+            return [{ rule: "ranTwice" as const, attemptId, detail: `${kind} at ${entries.get(attemptId)}: ${detail}` }];
+        });
+    }
+
+    function findOverlaps(): Violation[] {
+        return [...groupBy(runs, run => run.streamId)].flatMap(([, all]) =>
+            all.flatMap(earlier =>
+                all.filter(later => isOverlap(earlier, later)).map(later => ({
+                    rule: "twoServersAtOnce" as const,
+                    attemptId: later.attemptId,
+                    detail: `${earlier.server} (${earlier.answer}) worked on ${earlier.attemptId} of ${
+                        entries.get(earlier.attemptId)
+                    } until ${earlier.endedAtMs}, ${later.server} from ${later.startedAtMs}`,
+                }))
+            )
+        );
+    }
+
+    function isOverlap(earlier: Run, later: Run): boolean {
+        if (earlier === later || earlier.server === later.server || later.startedAtMs < earlier.startedAtMs) return false;
+        if (!isStreamOf(earlier)) return false;
+        if ((earlier.endedAtMs ?? Infinity) <= later.startedAtMs + overlapMs) return false;
+        const names = [earlier.server, entries.get(earlier.attemptId)];
+        return !disturbances.some(({ name, fromMs, untilMs }) =>
+            names.includes(name) && fromMs <= later.startedAtMs + overlapMs && later.startedAtMs <= untilMs + contactMs
+        );
+    }
+
+    function isStreamOf({ attemptId }: Run): boolean {
+        const kind = sentKinds.get(attemptId);
+        return kind !== undefined && routeShapes[kind].events > 0;
+    }
+
+    function findWrongAnswer(told: Told): Violation[] {
+        const { status, attemptId } = told;
+        if (status === undefined || status < 200 || status >= 300 || !told.isComplete) return [];
+        if (!told.isSealed) return [{ rule: "wrongAnswer", attemptId, detail: `${status} without a seal` }];
+        if (routeShapes[told.kind].events > 0) return findWrongEvents(told);
+        if (told.body === `done ${attemptId}`) return [];
+        return [{ rule: "wrongAnswer", attemptId, detail: `${status} with ${JSON.stringify(told.body)}` }];
+    }
+
+    function findWrongEvents({ attemptId, kind, body }: Told): Violation[] {
+        const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+        const isWhole = ids.length > 0 && ids.at(-1) === routeShapes[kind].events && ids.every((id, index) => id === ids[0]! + index);
+        return isWhole ? [] : [{ rule: "brokenOrder", attemptId, detail: `complete with the events ${ids.join(" ")}` }];
+    }
+}
+
+function groupBy<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
+    const groups = new Map<string, T[]>();
+    for (const item of items) groups.set(getKey(item), [...groups.get(getKey(item)) ?? [], item]);
+    return groups;
+}
--- /dev/null
+++ b/test/soakProxy.ts
@@ -0,0 +1,91 @@
+/** A TCP proxy on loopback that delays, holds back or resets what passes between the fleet and one server. */
+import * as net from "node:net";
+
+/** What is wrong with a link. What is held back arrives when the fault is over, as after a partition. */
+export interface LinkFault {
+    readonly isSilentToServer: boolean;
+    readonly isSilentToFleet: boolean;
+    readonly delayMs: number;
+    /** New connections are reset as soon as they are made. */
+    readonly isRefusing: boolean;
+}
+
+/** A proxy in front of one server. */
+export interface Proxy {
+    setFault(fault: LinkFault): void;
+    /** Resets all connections. */
+    reset(): void;
+    close(): void;
+}
+
+export const soundLink: LinkFault = { isSilentToServer: false, isSilentToFleet: false, delayMs: 0, isRefusing: false };
+
+const pollMs = 5;
+
+/** Starts a proxy that listens on `host:port` and connects to `targetPort` of the same host. */
+export async function startProxy({ host, port, targetPort }: {
+    readonly host: string;
+    readonly port: number;
+    readonly targetPort: number;
+}): Promise<Proxy> {
+    const pairs = new Set<readonly [net.Socket, net.Socket]>();
+    let fault = soundLink;
+    const server = net.createServer({ allowHalfOpen: true, noDelay: true }, client => {
+        if (fault.isRefusing) return void client.resetAndDestroy();
+        const upstream = net.connect({ host, port: targetPort, allowHalfOpen: true, noDelay: true });
+        const pair = [client, upstream] as const;
+        pairs.add(pair);
+        forward(client, upstream, () => fault.isSilentToServer);
+        forward(upstream, client, () => fault.isSilentToFleet);
+        client.once("close", () => pairs.delete(pair));
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, resolve);
+    });
+    return {
+        setFault(newFault) {
+            fault = newFault;
+        },
+        reset: resetAll,
+        close() {
+            resetAll();
+            server.close();
+        },
+    };
+
+    function resetAll(): void {
+        for (const pair of pairs) {
+            for (const socket of pair) socket.resetAndDestroy();
+        }
+    }
+
+    /** Forwards data and the end of one direction, in their order. */
+    function forward(from: net.Socket, to: net.Socket, isSilent: () => boolean): void {
+        const steps: (() => void)[] = [];
+        let isRunning = false;
+        from.on("data", data => add(() => to.writable && to.write(data)));
+        from.on("end", () => add(() => to.end()));
+        from.on("error", () => add(() => to.resetAndDestroy()));
+        from.on("close", () => add(() => to.destroySoon()));
+
+        function add(step: () => void): void {
+            steps.push(step);
+            if (!isRunning) void run();
+        }
+
+        async function run(): Promise<void> {
+            isRunning = true;
+            while (steps.length > 0) {
+                if (fault.delayMs > 0) await wait(fault.delayMs);
+                while (isSilent()) await wait(pollMs);
+                steps.shift()?.();
+            }
+            isRunning = false;
+        }
+    }
+}
+
+function wait(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
