Do not pass on an unsealed answer that promises that the request has not run

Callers send such a request again, so it runs again.

Cause: `findReplyProblem` asked for the server's seal on successes only ("an error need not, because an intermediary may have generated it") and passed any other status on. So a status that promises something went out although nobody had made the promise: neither the server, whose answers are sealed and whose refusals say that they are, nor the entry. Class: a status decides what a header or a stage has to show.

Change: the wire format names the statuses that callers read as "not run" (`notRunStatuses`). Such an answer needs a seal or the header that says so; without them it is a failed attempt that may have run (502, and an idempotent request is repeated). A sealed 503 still goes out unchanged, and a stated refusal still is "not run".

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -198,12 +198,14 @@
         }
     }
 
-    // A successful answer must carry the backend server's seal. An error need not, because an intermediary may have generated it.
+    // An answer that callers act on must carry the backend server's seal: a success, and a status that promises that the request has not run.
+    // Another error need not, because an intermediary may have generated it.
     function findReplyProblem(head: ReplyHead): string | undefined {
         if (head.isEncoded) return "The body is encoded.";
         if (head.requestId === undefined) return "The answer names no request.";
         if (head.status < 200 || head.status >= 300 && head.status < 400) return `Status ${head.status} is not expected.`;
-        if (!head.isSealed && head.status < 400) return "The answer is not sealed.";
+        const mustBeSealed = head.status < 400 || protocol.notRunStatuses.has(head.status);
+        if (mustBeSealed && !head.isSealed) return `The answer with status ${head.status} is not sealed.`;
         return head.status < 300 && sink.hasStarted && !continuesStream(head) ? "The answer does not go on with the stream." : undefined;
     }
 
--- a/src/entry/direct/types.ts
+++ b/src/entry/direct/types.ts
@@ -96,6 +96,8 @@
 
 /** The wire format of callers and backend servers. */
 export interface DirectProtocol {
+    /** Statuses that tell a caller that its request has not run and never will. */
+    readonly notRunStatuses: ReadonlySet<number>;
     parseRequest(request: HttpRequest): RequestHead | InvalidHead;
     createDispatchHeaders(head: RequestHead, metadata: DispatchMetadata): Headers;
     parseReply(status: number, headers: Headers): ReplyHead;
--- a/test/red/faultSoak.test.ts
+++ b/test/faultSoak.test.ts
@@ -1,9 +1,9 @@
 /**
  * Real processes under faults: what each server ran agrees with what each caller was told. Seeds and time can be set:
- * `LOVAGE_SOAK_SEEDS=9:12 LOVAGE_SOAK_MS=30000 LOVAGE_SOAK_LOGS=folder node dist/test/red/faultSoak.test.js`.
+ * `LOVAGE_SOAK_SEEDS=9:12 LOVAGE_SOAK_MS=30000 LOVAGE_SOAK_LOGS=folder node dist/test/faultSoak.test.js`.
  */
 import { test } from "tap";
-import { runSoak } from "../soakRun.js";
+import { runSoak } from "./soakRun.js";
 
 const [firstSeed = 1, lastSeed = firstSeed] = (process.env["LOVAGE_SOAK_SEEDS"] ?? "1:3").split(":").map(Number);
 const durationMs = Number(process.env["LOVAGE_SOAK_MS"] ?? 12_000);
--- a/test/soakProxy.ts
+++ b/test/soakProxy.ts
@@ -28,16 +28,17 @@
     readonly port: number;
     readonly targetPort: number;
 }): Promise<Proxy> {
-    const pairs = new Set<readonly [net.Socket, net.Socket]>();
+    const sockets = new Set<net.Socket>();
     let fault = soundLink;
     const server = net.createServer({ allowHalfOpen: true, noDelay: true }, client => {
         if (fault.isRefusing) return void client.resetAndDestroy();
         const upstream = net.connect({ host, port: targetPort, allowHalfOpen: true, noDelay: true });
-        const pair = [client, upstream] as const;
-        pairs.add(pair);
+        for (const socket of [client, upstream]) {
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+        }
         forward(client, upstream, () => fault.isSilentToServer);
         forward(upstream, client, () => fault.isSilentToFleet);
-        client.once("close", () => pairs.delete(pair));
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -55,9 +56,7 @@
     };
 
     function resetAll(): void {
-        for (const pair of pairs) {
-            for (const socket of pair) socket.resetAndDestroy();
-        }
+        for (const socket of sockets) socket.resetAndDestroy();
     }
 
     /** Forwards data and the end of one direction, in their order. */
@@ -67,7 +66,7 @@
         from.on("data", data => add(() => to.writable && to.write(data)));
         from.on("end", () => add(() => to.end()));
         from.on("error", () => add(() => to.resetAndDestroy()));
-        from.on("close", () => add(() => to.destroySoon()));
+        from.on("close", () => add(() => to.destroy()));
 
         function add(step: () => void): void {
             steps.push(step);
--- a/test/red/unsealedFailures.test.ts
+++ b/test/unsealedFailures.test.ts
@@ -1,7 +1,7 @@
 /** Failures without a seal, which the backend server may not have made: what the caller is told, on real sockets. */
 import { test } from "tap";
-import { startRealDelivery } from "../realDelivery.js";
-import type { Arrival } from "../realDelivery.js";
+import { startRealDelivery } from "./realDelivery.js";
+import type { Arrival } from "./realDelivery.js";
 
 function answer({ socket, id }: Arrival, status: number, ...headers: readonly string[]): void {
     const lines = [`HTTP/1.1 ${status} Failure`, `X-Attempt-Id: ${id}`, ...headers, "Content-Length: 4", "", "fail"];
