An agent that has restarted does not say that an attempt never ran

What callers would see (fleets with agents; no case of the users' is known): an entry loses the answer of an attempt because its agent restarts. It asks the agent, under the same address, to cancel the attempt. The new process has never heard of it and said "unknown", which stands for "has not started and never will". The entry then refused the request as not run, or sent it to another server: refused and ran, or ran twice.

Cause: the call names the attempt and not the incarnation of the agent that it was sent to.

Change: the call carries the incarnation, and an agent of another one replies `otherIncarnation`. Entries take that, like any reply other than `unknown`, for "may have run". A call without it (an earlier entry) is answered as before.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -106,7 +106,10 @@
             for (const leaseId of request.leaseIds) counters.close(leaseId);
             return { kind: "closed", uses: request.leaseIds.map(counters.getUse) };
         },
-        cancel: request => runner.cancel(request),
+        async cancel(request) {
+            if ((request.incarnation ?? incarnation) !== incarnation) return { state: "otherIncarnation", billedTokens: 0 };
+            return runner.cancel(request);
+        },
         async countTokens({ body }) {
             return { promptTokens: await options.adapter.countPromptTokens(body).catch(() => undefined) };
         },
--- a/src/entry/delivery/settlement.ts
+++ b/src/entry/delivery/settlement.ts
@@ -73,7 +73,11 @@
     location: AttemptLocation,
     bill: CancelBilling,
 ): Promise<CancelReply | undefined> {
-    const call = delivery.agents.get(location.address).cancel.mutate({ requestId: location.requestId, bill });
+    const call = delivery.agents.get(location.address).cancel.mutate({
+        requestId: location.requestId,
+        incarnation: location.incarnation,
+        bill,
+    });
     return withTimeout(delivery.host.timers, call as Promise<CancelReply>, cancelTimeoutMs, "cancel").catch(() => undefined);
 }
 
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -337,6 +337,8 @@
 /** A request to cancel an attempt. */
 export const cancelSchema = z.object({
     requestId: boundedString,
+    /** Incarnation of the agent that the attempt was sent to. Absent if the caller is of an earlier version. */
+    incarnation: boundedString.optional(),
     bill: z.enum(["never", "finished", "generated"]),
 });
 /** A request to cancel an attempt. */
@@ -360,8 +362,11 @@
 
 /** Result of a cancellation: the state of the attempt. */
 export interface CancelReply {
-    /** `unknown` if the agent has not started the attempt and never will. `running` if the attempt must not be stopped. */
-    readonly state: "unknown" | "stopped" | "finished" | "running";
+    /**
+     * `unknown` if the agent has not started the attempt and never will. `running` if the attempt must not be stopped. `otherIncarnation` if the
+     * agent has restarted since the attempt was sent, so that it does not know whether the attempt has run.
+     */
+    readonly state: "unknown" | "stopped" | "finished" | "running" | "otherIncarnation";
     readonly billedTokens: number;
 }
 
