--- a/test/soakCaller.ts
+++ b/test/soakCaller.ts
@@ -17,18 +17,21 @@
 /** An attempt of a caller. */
 interface Attempt {
     readonly attemptId: string;
+    readonly streamId: string;
     readonly kind: RouteKind;
     readonly entry: number;
     readonly deadlineMs: number;
-    /** Set for an attempt that continues a stream. */
-    readonly resumed?: { readonly streamId: string; readonly lastEvent: number; };
+    /** Last event that the caller has, of an attempt that continues a stream. */
+    readonly resumedAfterEvent?: number;
     /** Time after which the caller leaves. Undefined if it stays. */
     readonly leaveAfterMs?: number;
 }
 
 const key = "county-key";
 const meanPauseMs = 120;
-const leaveShare = 0.05;
+const leaveShare = 0.1;
+/** Callers of streams leave within a longer time, so that some leave while a broken stream is about to continue elsewhere. */
+const leaveWithinMs = { answer: 400, stream: 1_200 } as const;
 /** Longest time that a caller waits beyond what it has told the fleet. */
 const extraWaitMs = 1_500;
 const maxAttempts = 3;
@@ -60,8 +63,9 @@
                 kind,
                 entry,
                 deadlineMs,
-                resumed: lastEvent > 0 && shape.isResumable ? { streamId, lastEvent } : undefined,
-                leaveAfterMs: random() < leaveShare ? random() * 400 : undefined,
+                streamId,
+                resumedAfterEvent: lastEvent > 0 && shape.isResumable ? lastEvent : undefined,
+                leaveAfterMs: random() < leaveShare ? random() * leaveWithinMs[shape.events > 0 ? "stream" : "answer"] : undefined,
             });
             if (!shouldRetry(kind, told)) return;
             lastEvent = Math.max(lastEvent, getLastEvent(told.body));
@@ -81,13 +85,13 @@
 }
 
 async function sendAttempt({ fleet, ledger }: SoakCallerOptions, agent: http.Agent, attempt: Attempt): Promise<Told> {
-    const { attemptId, kind, entry } = attempt;
+    const { attemptId, streamId, kind, entry } = attempt;
     const entryName = `edge-${entry + 1}`;
     const sentAtMs = Date.now();
     ledger.sentKinds.set(attemptId, kind);
     ledger.entries.set(attemptId, entryName);
     const answer = await exchange(fleet, agent, attempt);
-    const told: Told = { attemptId, kind, entry: entryName, sentAtMs, endedAtMs: Date.now(), ...answer };
+    const told: Told = { attemptId, streamId, kind, entry: entryName, sentAtMs, endedAtMs: Date.now(), ...answer };
     ledger.tell(told);
     return told;
 }
@@ -126,14 +130,14 @@
     });
 }
 
-function createHeaders({ attemptId, kind, deadlineMs, resumed }: Attempt): Readonly<Record<string, string>> {
+function createHeaders({ attemptId, streamId, kind, deadlineMs, resumedAfterEvent }: Attempt): Readonly<Record<string, string>> {
     return {
         "host": "desk.example",
         "x-attempt-id": attemptId,
         "x-deadline-ms": String(Math.round(deadlineMs)),
         "authorization": `Bearer ${key}`,
         ...routeShapes[kind].events > 0 ? { "x-model": "m", "x-token-counts": "100,240", "x-prompt-prefix": "a1:60,b2:40" } : {},
-        ...resumed === undefined ? {} : { "last-event-id": String(resumed.lastEvent), "resumes": resumed.streamId },
+        ...resumedAfterEvent === undefined ? {} : { "last-event-id": String(resumedAfterEvent), "resumes": streamId },
     };
 }
 
--- a/test/soakFaults.ts
+++ b/test/soakFaults.ts
@@ -31,6 +31,7 @@
     | "refuseLink"
     | "restartServer"
     | "renameServer"
+    | "releaseServer"
     | "drainServer"
     | "changeConfiguration";
 
@@ -69,6 +70,7 @@
     refuseLink: 1,
     restartServer: 1,
     renameServer: 1,
+    releaseServer: 1,
     drainServer: 0.5,
     changeConfiguration: 1,
 };
@@ -101,11 +103,15 @@
     refuseLink: (targets, fault) => harmLink(targets, fault, { ...soundLink, isRefusing: true }),
     async restartServer(targets, fault) {
         const server = chooseServer(targets, fault);
-        server.restart(server.id);
+        server.restart(server.id, server.softwareVersion);
     },
     async renameServer(targets, fault) {
         const server = chooseServer(targets, fault);
-        server.restart(`${server.id}b`);
+        server.restart(`${server.id}b`, server.softwareVersion);
+    },
+    async releaseServer(targets, fault) {
+        const server = chooseServer(targets, fault);
+        server.restart(`${server.id}r`, server.softwareVersion === "v1" ? "v2" : "v1");
     },
     async drainServer(targets, fault) {
         const server = chooseServer(targets, fault);
--- a/test/soakLedger.ts
+++ b/test/soakLedger.ts
@@ -52,7 +52,13 @@
         },
         tell: told => void answers.push(told),
         disturb: (name, fromMs, untilMs) => void disturbances.push({ name, fromMs, untilMs }),
-        check: () => [...findRefusedRuns(), ...findSecondRuns(), ...findOverlaps(), ...answers.flatMap(findWrongAnswer)],
+        check: () => [
+            ...findRefusedRuns(),
+            ...findSecondRuns(),
+            ...findOverlaps(),
+            ...findMixedVersions(),
+            ...answers.flatMap(findWrongAnswer),
+        ],
         count() {
             const byStatus: Record<string, number> = {};
             for (const { status } of answers) byStatus[status ?? "none"] = (byStatus[status ?? "none"] ?? 0) + 1;
@@ -96,6 +102,16 @@
         );
     }
 
+    /** A caller puts a stream together from the events of several attempts. */
+    function findMixedVersions(): Violation[] {
+        const streams = groupBy(answers.filter(told => routeShapes[told.kind].isResumable && told.isSealed), told => told.streamId);
+        return [...streams].flatMap(([, all]) => {
+            const versions = new Set(all.flatMap(told => getVersions(told.body)));
+            const detail = all.map(told => `${told.attemptId} at ${told.entry}: ${getVersions(told.body).join(" ")}`).join(", ");
+            return versions.size < 2 ? [] : [{ rule: "brokenOrder" as const, attemptId: all[0]!.attemptId, detail }];
+        });
+    }
+
     function isOverlap(earlier: Run, later: Run): boolean {
         if (earlier === later || earlier.server === later.server || later.startedAtMs < earlier.startedAtMs) return false;
         if (!isStreamOf(earlier)) return false;
@@ -123,10 +139,17 @@
     function findWrongEvents({ attemptId, kind, body }: Told): Violation[] {
         const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
         const isWhole = ids.length > 0 && ids.at(-1) === routeShapes[kind].events && ids.every((id, index) => id === ids[0]! + index);
-        return isWhole ? [] : [{ rule: "brokenOrder", attemptId, detail: `complete with the events ${ids.join(" ")}` }];
+        if (!isWhole) return [{ rule: "brokenOrder", attemptId, detail: `complete with the events ${ids.join(" ")}` }];
+        const versions = getVersions(body);
+        return versions.length === 1 ? [] : [{ rule: "brokenOrder", attemptId, detail: `events of ${versions.join(" and ")}` }];
     }
 }
 
+/** Returns the software versions that have written the whole events of an answer. */
+function getVersions(body: string): readonly string[] {
+    return [...new Set([...body.matchAll(/^id: \d+\ndata: (\S+)\n\n/gm)].map(match => match[1]!))];
+}
+
 function groupBy<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
     const groups = new Map<string, T[]>();
     for (const item of items) groups.set(getKey(item), [...groups.get(getKey(item)) ?? [], item]);
--- a/test/soakProxy.ts
+++ b/test/soakProxy.ts
@@ -31,7 +31,7 @@
     const sockets = new Set<net.Socket>();
     let fault = soundLink;
     const server = net.createServer({ allowHalfOpen: true, noDelay: true }, client => {
-        if (fault.isRefusing) return void client.resetAndDestroy();
+        if (fault.isRefusing) return resetSocket(client);
         const upstream = net.connect({ host, port: targetPort, allowHalfOpen: true, noDelay: true });
         for (const socket of [client, upstream]) {
             sockets.add(socket);
@@ -56,7 +56,7 @@
     };
 
     function resetAll(): void {
-        for (const socket of sockets) socket.resetAndDestroy();
+        for (const socket of sockets) resetSocket(socket);
     }
 
     /** Forwards data and the end of one direction, in their order. */
@@ -65,7 +65,7 @@
         let isRunning = false;
         from.on("data", data => add(() => to.writable && to.write(data)));
         from.on("end", () => add(() => to.end()));
-        from.on("error", () => add(() => to.resetAndDestroy()));
+        from.on("error", () => add(() => resetSocket(to)));
         from.on("close", () => add(() => to.destroy()));
 
         function add(step: () => void): void {
@@ -85,6 +85,12 @@
     }
 }
 
+/** Resets a connection. Node.js would leave one open that is being shut down. */
+export function resetSocket(socket: net.Socket): void {
+    if (socket.writableEnded) socket.destroy();
+    else socket.resetAndDestroy();
+}
+
 function wait(delayMs: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, delayMs));
 }
--- a/test/soakServer.ts
+++ b/test/soakServer.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Ledger } from "./soakLedger.js";
-import { startProxy } from "./soakProxy.js";
+import { resetSocket, startProxy } from "./soakProxy.js";
 import type { Proxy } from "./soakProxy.js";
 import { routeShapes } from "./soakTypes.js";
 import type { Fleet, FleetLibrary, RouteKind, RouteShape, Run } from "./soakTypes.js";
@@ -49,7 +49,7 @@
 
 /** A request that a server has read. */
 interface Exchange {
-    readonly attemptId: string;
+    readonly softwareVersion: string;
     readonly shape: RouteShape;
     readonly firstEvent: number;
     readonly response: http.ServerResponse;
@@ -64,7 +64,7 @@
     failed: ({ response, headers }) => void response.writeHead(500, { ...headers, "Content-Length": "4" }).end("fail"),
     refused: ({ response, headers }) => writeRefusal(response, headers),
     refusedWithPause: ({ response, headers }) => writeRefusal(response, { ...headers, "Retry-After": "0.3" }),
-    reset: ({ socket }) => void socket.resetAndDestroy(),
+    reset: ({ socket }) => resetSocket(socket),
     ended: ({ socket }) => void socket.end(),
     cutHead: ({ socket }) => void socket.end("HTTP/1.1 200 OK\r\nX-Att"),
     cutBody: ({ socket, headers, body }) => writeRaw(socket, 200, headers, body.slice(0, 3), body.length, true),
@@ -89,9 +89,10 @@
 /** A server and the proxy through which the fleet reaches it. */
 export interface SoakServer {
     readonly id: string;
+    readonly softwareVersion: string;
     readonly proxy: Proxy;
-    /** Ends all work and starts anew under an id, which may be the same. */
-    restart(id: string): void;
+    /** Ends all work and starts anew under an id, which may be the same, with a version of its software. */
+    restart(id: string, softwareVersion: string): void;
     setState(state: "ready" | "draining"): void;
     stop(): Promise<void>;
 }
@@ -121,6 +122,7 @@
     const port = fleet.ports.worker;
     const sockets = new Set<Socket>();
     let { id } = options;
+    let softwareVersion = "v1";
     let bornMs = Date.now();
     let sequence = 0;
     let state: "ready" | "draining" = "ready";
@@ -147,10 +149,14 @@
         get id() {
             return id;
         },
+        get softwareVersion() {
+            return softwareVersion;
+        },
         proxy,
-        restart(newId) {
-            for (const socket of sockets) socket.resetAndDestroy();
+        restart(newId, newVersion) {
+            for (const socket of sockets) resetSocket(socket);
             id = newId;
+            softwareVersion = newVersion;
             bornMs = Date.now();
             sequence = 0;
             state = "ready";
@@ -179,7 +185,7 @@
         const isRefused = answer === "refused" || answer === "refusedWithPause";
         const run = isRefused ? undefined : beginRun(request, attemptId, answer);
         const exchange: Exchange = {
-            attemptId,
+            softwareVersion,
             shape: routeShapes[kind],
             firstEvent: Number(request.headers["last-event-id"] ?? 0) + 1,
             response,
@@ -214,7 +220,7 @@
             service,
             address: `${host}:${port}`,
             zone: fleet.zones[index % fleet.zones.length],
-            version: "v1",
+            version: softwareVersion,
             slots,
             state,
             cold_left_ms: 0,
@@ -264,7 +270,7 @@
     if (!socket.writable) return;
     const lines = Object.entries({ ...headers, "Content-Length": String(length) }).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.write(`HTTP/1.1 ${status} S\r\n${lines.join("")}\r\n${body}`);
-    if (isCut) socket.resetAndDestroy();
+    if (isCut) resetSocket(socket);
     else setTimeout(() => socket.end(), copyDelayMs);
 }
 
@@ -274,12 +280,12 @@
     response.writeHead(200, { ...headers, "Content-Length": String(body.length) }).end(body);
 }
 
-function writeEvents({ response, headers, shape, firstEvent, attemptId, run, socket }: Exchange): void {
+function writeEvents({ response, headers, shape, firstEvent, softwareVersion, run, socket }: Exchange): void {
     response.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
     let event = firstEvent;
     const timer = setInterval(() => {
         if (socket.destroyed || response.destroyed) return clearInterval(timer);
-        if (event <= shape.events) response.write(`id: ${event}\ndata: ${attemptId}\n\n`);
+        if (event <= shape.events) response.write(`id: ${event}\ndata: ${softwareVersion}\n\n`);
         event++;
         if (event <= shape.events) return;
         clearInterval(timer);
--- a/test/soakTypes.ts
+++ b/test/soakTypes.ts
@@ -90,6 +90,8 @@
 /** What a caller was told of an attempt. */
 export interface Told {
     readonly attemptId: string;
+    /** The first attempt of the request or stream. */
+    readonly streamId: string;
     readonly kind: RouteKind;
     readonly entry: string;
     readonly sentAtMs: number;
