Fault soak: name the attempt that a stream continues, and judge two servers by the order of attempts

Cause: two mistakes of the soak, shown by traces. (2) It took the run that started first for the one before.

Change: callers name the attempt that brought the first event. Each connection of a server has one pair of listeners instead of one pair a request.

--- a/test/soakCaller.ts
+++ b/test/soakCaller.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type { Ledger } from "./soakLedger.js";
 import { mayRepeat, routeShapes } from "./soakTypes.js";
-import type { Fleet, RouteKind, RouteShape, Told } from "./soakTypes.js";
+import type { Fleet, RouteKind, RouteShape, SentAttempt, Told } from "./soakTypes.js";
 
 /** Options of a caller. */
 export interface SoakCallerOptions {
@@ -53,22 +53,25 @@
         const kind = chooseKind(random());
         const shape = routeShapes[kind];
         const deadlineAtMs = Date.now() + shape.deadlineMs;
-        const streamId = `${name}-${++number}`;
+        const requestId = `${name}-${++number}`;
+        let streamId: string | undefined;
         let lastEvent = 0;
         for (let count = 1; count <= maxAttempts; count++) {
             const deadlineMs = deadlineAtMs - Date.now();
             if (deadlineMs < 100) return;
+            const attemptId = `${requestId}-${count}`;
             const told = await sendAttempt(options, agent, {
-                attemptId: count === 1 ? streamId : `${streamId}-${count}`,
+                attemptId,
+                streamId: streamId ?? attemptId,
                 kind,
                 entry,
                 deadlineMs,
-                streamId,
-                resumedAfterEvent: lastEvent > 0 && shape.isResumable ? lastEvent : undefined,
+                resumedAfterEvent: streamId === undefined ? undefined : lastEvent,
                 leaveAfterMs: random() < leaveShare ? random() * leaveWithinMs[shape.events > 0 ? "stream" : "answer"] : undefined,
             });
             if (!shouldRetry(kind, told)) return;
             lastEvent = Math.max(lastEvent, getLastEvent(told.body));
+            if (lastEvent > 0 && shape.isResumable) streamId ??= attemptId;
             entry = (entry + 1 + Math.floor(random() * (entryCount - 1))) % entryCount;
             if (told.status !== undefined) await wait(50);
         }
@@ -86,12 +89,10 @@
 
 async function sendAttempt({ fleet, ledger }: SoakCallerOptions, agent: http.Agent, attempt: Attempt): Promise<Told> {
     const { attemptId, streamId, kind, entry } = attempt;
-    const entryName = `edge-${entry + 1}`;
-    const sentAtMs = Date.now();
-    ledger.sentKinds.set(attemptId, kind);
-    ledger.entries.set(attemptId, entryName);
+    const sent: SentAttempt = { attemptId, streamId, kind, entry: `edge-${entry + 1}`, sentAtMs: Date.now() };
+    ledger.send(sent);
     const answer = await exchange(fleet, agent, attempt);
-    const told: Told = { attemptId, streamId, kind, entry: entryName, sentAtMs, endedAtMs: Date.now(), ...answer };
+    const told: Told = { ...sent, endedAtMs: Date.now(), ...answer };
     ledger.tell(told);
     return told;
 }
--- a/test/soakLedger.ts
+++ b/test/soakLedger.ts
@@ -1,6 +1,6 @@
 /** Compares what each server ran with what each caller was told. */
 import { mayRepeat, routeShapes } from "./soakTypes.js";
-import type { RouteKind, Run, Told } from "./soakTypes.js";
+import type { Run, SentAttempt, Told } from "./soakTypes.js";
 
 /** A promise of the fleet that was broken. */
 export interface Violation {
@@ -11,14 +11,11 @@
 
 /** Collects runs and answers, and checks them. */
 export interface Ledger {
+    send(attempt: SentAttempt): void;
     begin(run: Omit<Run, "endedAtMs">): Run;
     tell(told: Told): void;
-    /** Returns the attempts that a caller has sent, whatever became of them. */
-    readonly sentKinds: Map<string, RouteKind>;
     /** Records a time span in which the connection between the fleet and a server, or the process of an entry, was disturbed. */
     disturb(name: string, fromMs: number, untilMs: number): void;
-    /** Entry that an attempt was sent to. */
-    readonly entries: Map<string, string>;
     check(): readonly Violation[];
     count(): { readonly told: number; readonly runs: number; readonly byStatus: Readonly<Record<string, number>>; };
 }
@@ -40,11 +37,9 @@
     const runs: Run[] = [];
     const answers: Told[] = [];
     const disturbances: Disturbance[] = [];
-    const sentKinds = new Map<string, RouteKind>();
-    const entries = new Map<string, string>();
+    const sent = new Map<string, SentAttempt>();
     return {
-        sentKinds,
-        entries,
+        send: attempt => void sent.set(attempt.attemptId, attempt),
         begin(start) {
             const run: Run = { ...start, endedAtMs: undefined };
             runs.push(run);
@@ -81,10 +76,10 @@
 
     function findSecondRuns(): Violation[] {
         return [...groupBy(runs, run => run.attemptId)].flatMap(([attemptId, all]) => {
-            const kind = sentKinds.get(attemptId);
-            if (kind === undefined || mayRepeat(kind) || all.length < 2) return [];
+            const attempt = sent.get(attemptId);
+            if (attempt === undefined || mayRepeat(attempt.kind) || all.length < 2) return [];
             const detail = all.map(run => `${run.server} (${run.answer}) from ${run.startedAtMs}`).join(", ");
-            return [{ rule: "ranTwice" as const, attemptId, detail: `${kind} at ${entries.get(attemptId)}: ${detail}` }];
+            return [{ rule: "ranTwice" as const, attemptId, detail: `${attempt.kind} at ${attempt.entry}: ${detail}` }];
         });
     }
 
@@ -94,14 +89,16 @@
                 all.filter(later => isOverlap(earlier, later)).map(later => ({
                     rule: "twoServersAtOnce" as const,
                     attemptId: later.attemptId,
-                    detail: `${earlier.server} (${earlier.answer}) worked on ${earlier.attemptId} of ${
-                        entries.get(earlier.attemptId)
-                    } until ${earlier.endedAtMs}, ${later.server} from ${later.startedAtMs}`,
+                    detail: `${describe(earlier)} until ${earlier.endedAtMs}, ${describe(later)} until ${later.endedAtMs}`,
                 }))
             )
         );
     }
 
+    function describe({ server, answer, attemptId, startedAtMs }: Run): string {
+        return `${server} (${answer}) worked on ${attemptId} of ${sent.get(attemptId)?.entry} from ${startedAtMs}`;
+    }
+
     /** A caller puts a stream together from the events of several attempts. */
     function findMixedVersions(): Violation[] {
         const streams = groupBy(answers.filter(told => routeShapes[told.kind].isResumable && told.isSealed), told => told.streamId);
@@ -112,21 +109,23 @@
         });
     }
 
+    // The run of an earlier attempt may reach its server after that of a later one, and has to end soon all the same.
     function isOverlap(earlier: Run, later: Run): boolean {
-        if (earlier === later || earlier.server === later.server || later.startedAtMs < earlier.startedAtMs) return false;
-        if (!isStreamOf(earlier)) return false;
-        if ((earlier.endedAtMs ?? Infinity) <= later.startedAtMs + overlapMs) return false;
-        const names = [earlier.server, later.server, entries.get(earlier.attemptId)];
+        const earlierAttempt = sent.get(earlier.attemptId);
+        const laterAttempt = sent.get(later.attemptId);
+        if (earlier.server === later.server || earlierAttempt === undefined || laterAttempt === undefined) return false;
+        if (routeShapes[earlierAttempt.kind].events === 0) return false;
+        const isEarlier = earlierAttempt === laterAttempt
+            ? earlier.startedAtMs < later.startedAtMs
+            : earlierAttempt.sentAtMs < laterAttempt.sentAtMs;
+        const bothSinceMs = Math.max(earlier.startedAtMs, later.startedAtMs);
+        if (!isEarlier || (earlier.endedAtMs ?? Infinity) <= bothSinceMs + overlapMs) return false;
+        const names = [earlier.server, later.server, earlierAttempt.entry];
         return !disturbances.some(({ name, fromMs, untilMs }) =>
-            names.includes(name) && fromMs <= later.startedAtMs + overlapMs && later.startedAtMs <= untilMs + contactMs
+            names.includes(name) && fromMs <= bothSinceMs + overlapMs && bothSinceMs <= untilMs + contactMs
         );
     }
 
-    function isStreamOf({ attemptId }: Run): boolean {
-        const kind = sentKinds.get(attemptId);
-        return kind !== undefined && routeShapes[kind].events > 0;
-    }
-
     function findWrongAnswer(told: Told): Violation[] {
         const { status, attemptId } = told;
         if (status === undefined || status < 200 || status >= 300 || !told.isComplete) return [];
--- a/test/soakServer.ts
+++ b/test/soakServer.ts
@@ -121,6 +121,8 @@
     const host = fleet.workerIps[index]!;
     const port = fleet.ports.worker;
     const sockets = new Set<Socket>();
+    /** The last run on each connection. A connection carries one request at a time. */
+    const runs = new WeakMap<Socket, Run>();
     let { id } = options;
     let softwareVersion = "v1";
     let bornMs = Date.now();
@@ -135,7 +137,12 @@
     server.keepAliveTimeout = 3_000;
     server.on("connection", (socket: Socket) => {
         sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
+        // A server drops a request as soon as its connection ends.
+        socket.once("end", () => endRun(runs.get(socket)));
+        socket.once("close", () => {
+            sockets.delete(socket);
+            endRun(runs.get(socket));
+        });
         socket.on("error", () => undefined);
     });
     await new Promise<void>((resolve, reject) => {
@@ -198,7 +205,7 @@
         setTimeout(() => {
             if (request.socket.destroyed) return;
             answerers[answer](exchange);
-            if (run !== undefined && !isEventAnswer(exchange, answer)) run.endedAtMs ??= Date.now();
+            if (!isEventAnswer(exchange, answer)) endRun(run);
         }, workMs);
     }
 
@@ -206,12 +213,7 @@
         const resumed = headers["resumes"];
         const streamId = typeof resumed === "string" ? resumed : attemptId;
         const run = ledger.begin({ attemptId, streamId, server: id, startedAtMs: Date.now(), answer });
-        const end = () => {
-            run.endedAtMs ??= Date.now();
-        };
-        // A server drops a request as soon as its connection ends.
-        socket.once("end", end);
-        socket.once("close", end);
+        runs.set(socket, run);
         return run;
     }
 
@@ -237,6 +239,10 @@
     }
 }
 
+function endRun(run: Run | undefined): void {
+    if (run !== undefined) run.endedAtMs ??= Date.now();
+}
+
 function chooseAnswer(number: number): AnswerKind {
     let sum = 0;
     for (const [kind, share] of Object.entries(answerShares)) {
@@ -290,6 +296,6 @@
         if (event <= shape.events) return;
         clearInterval(timer);
         response.end();
-        if (run !== undefined) run.endedAtMs ??= Date.now();
+        endRun(run);
     }, eventGapMs);
 }
--- a/test/soakTypes.ts
+++ b/test/soakTypes.ts
@@ -77,7 +77,7 @@
 /** A run of a request at a server. */
 export interface Run {
     readonly attemptId: string;
-    /** The first attempt of the stream that this run begins or continues. */
+    /** The attempt that brought the first event of the stream that this run continues, or this one. */
     readonly streamId: string;
     readonly server: string;
     readonly startedAtMs: number;
@@ -87,14 +87,18 @@
     readonly answer: string;
 }
 
-/** What a caller was told of an attempt. */
-export interface Told {
+/** An attempt that a caller has sent. */
+export interface SentAttempt {
     readonly attemptId: string;
-    /** The first attempt of the request or stream. */
+    /** The attempt that brought the first event of the stream that this one continues, or this one. */
     readonly streamId: string;
     readonly kind: RouteKind;
     readonly entry: string;
     readonly sentAtMs: number;
+}
+
+/** What a caller was told of an attempt. */
+export interface Told extends SentAttempt {
     readonly endedAtMs: number;
     /** Undefined if no answer came. */
     readonly status: number | undefined;
