Do not send a request on a new connection before what has arrived is read

Also a request that must run once, and that nobody waits for any more, ran.

Cause: undici writes a request in the callback of its connector. If the connection to the server and the leaving of the caller are read in one turn of the event loop, as they are after a pause or on a part of a core, the write comes first. Kept connections wait for the end of the turn already (`leavePollPhase`); new ones did not.

Change: a new connection is handed to undici at the end of the turn in which it was made. One that has closed by then fails as not sent. The code of the connector is a function of its own.

Whether this is the users' case is not shown.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -113,30 +113,36 @@
                 connect(target, callback) {
                     connect(target, (error, socket) => {
                         if (error !== null || socket === null) return callback(error ?? new Error("no socket"), null);
-                        connection.socketError = undefined;
-                        connection.responses = 0;
-                        connection.openedAtMs = clock.nowMs();
-                        connection.socket = socket as Socket;
-                        connection.watch = watchReads(socket as Socket, {
-                            address,
-                            clock,
-                            log,
-                            isIdle: () => connection.client.stats.running === 0,
-                            onSurplus: () => connection.onSurplus?.(),
-                        });
-                        (socket as Socket).prependOnceListener("end", () => {
-                            if (wasReset(socket as Socket)) connection.socketError = new VError("the connection to %s was reset", address);
-                        });
-                        // undici also destroys sockets with its own errors, which say nothing about the server.
-                        (socket as Socket).once("error", socketError => {
-                            if ("syscall" in socketError) connection.socketError = socketError;
-                        });
-                        callback(null, socket);
+                        void leavePollPhase().then(() => handOver(socket as Socket, callback));
                     });
                 },
             }),
         };
         return connection;
+
+        // undici writes the request at once. Its caller may have left while the connection was made.
+        function handOver(socket: Socket, callback: buildConnector.Callback): void {
+            if (socket.destroyed) return callback(socket.errored ?? new VError("the connection to %s was closed", address), null);
+            connection.socketError = undefined;
+            connection.responses = 0;
+            connection.openedAtMs = clock.nowMs();
+            connection.socket = socket;
+            connection.watch = watchReads(socket, {
+                address,
+                clock,
+                log,
+                isIdle: () => connection.client.stats.running === 0,
+                onSurplus: () => connection.onSurplus?.(),
+            });
+            socket.prependOnceListener("end", () => {
+                if (wasReset(socket)) connection.socketError = new VError("the connection to %s was reset", address);
+            });
+            // undici also destroys sockets with its own errors, which say nothing about the server.
+            socket.once("error", socketError => {
+                if ("syscall" in socketError) connection.socketError = socketError;
+            });
+            callback(null, socket);
+        }
     }
 
     // Releasing a connection also removes closed idle ones from the pool, so that no state remains for removed servers.
@@ -172,8 +178,9 @@
 }
 
 /**
- * Lets a kept connection read what arrived on it while it was idle, and close because of it: such bytes answer no request. undici waits
- * for one more turn of the event loop before it sends, but a wait that begins in the poll phase ends before anything more is read.
+ * Ends once all that has arrived in this turn of the event loop is read: on a kept connection bytes that answer no request, or its close, and
+ * from the caller of the request that it has left. undici waits for one more turn before it sends on a kept connection, but a wait that begins
+ * in the poll phase ends before anything more is read.
  */
 function leavePollPhase(): Promise<void> {
     return new Promise(resolve => setImmediate(resolve));
--- a/test/leavingCallers.test.ts
+++ b/test/leavingCallers.test.ts
@@ -1,4 +1,7 @@
 /** Callers that leave while their request is on its way, on real sockets: what their backend servers still get to do. */
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { once } from "node:events";
+import type { IncomingMessage } from "node:http";
 import * as net from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
@@ -27,6 +30,56 @@
     await delivery.close();
 });
 
+for (const repeat of ["nonIdempotent", "resumableStream"] as const) {
+    test(`a ${repeat} request whose caller is read to have left right after the connection to its server was made is not sent`, async t => {
+        const delivery = await startRealDelivery(repeat, startStream);
+        const caller = openCaller(delivery.address, "a1");
+        await once(caller, "connect");
+        const connects = holdConnects();
+        const { socket } = await nextRequest();
+        socket.prependOnceListener("end", connects.release);
+        await connects.held;
+        caller.destroy();
+        while (delivery.results.length === 0) await sleep(10);
+        connects.close();
+        t.equal(delivery.arrivals.length, 0);
+        await delivery.close();
+    });
+}
+
+/** Holds back the event that the next connection is made, so that it can come in one turn of the event loop with another event. */
+function holdConnects() {
+    const channel = "net.client.socket";
+    let release: () => void = () => undefined;
+    let reportHeld: () => void;
+    const held = new Promise<void>(resolve => {
+        reportHeld = resolve;
+    });
+    const hold = (message: unknown) => {
+        const { socket } = message as { readonly socket: net.Socket; };
+        const emit = socket.emit.bind(socket);
+        socket.emit = (event: string, ...parameters: unknown[]) => {
+            if (event !== "connect") return emit(event, ...parameters);
+            release = () => void emit("connect");
+            reportHeld();
+            return true;
+        };
+    };
+    subscribe(channel, hold);
+    return { held, release: () => release(), close: () => unsubscribe(channel, hold) };
+}
+
+function nextRequest(): Promise<IncomingMessage> {
+    const channel = "http.server.request.start";
+    return new Promise(resolve => {
+        const take = (message: unknown) => {
+            unsubscribe(channel, take);
+            resolve((message as { readonly request: IncomingMessage; }).request);
+        };
+        subscribe(channel, take);
+    });
+}
+
 function startStream({ socket, id }: Arrival): void {
     socket.write(`${createSealedHead(id, "Content-Type: text/event-stream", "Connection: close")}${firstEvent}`);
 }
