Move what a server tells beside its answers out of the delivery

Change: `serverReports.ts` takes over rates, notices and surplus bytes, unchanged.

Measured: attemptTrace, unsealedFailures, leavingCallers, sentRequests, oddAnswers, serverNotices, serverLimits, surplusBytes, endlessAnswers, direct and coldServers pass. No decision changed.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -19,8 +19,6 @@
 /** A complete answer whose body was buffered. */
 export interface BufferedAnswer {
     readonly status: number;
-    /** True when the answer carries the backend server's seal. */
-    readonly isSealed: boolean;
     readonly headers: Headers;
     readonly body: Uint8Array;
     /** True when the body is delimited by the end of the connection instead of a content length or chunked encoding. */
@@ -32,7 +30,7 @@
 /** Result of an attempt. */
 export type AttemptOutcome =
     /** The backend server sent a complete answer, which may be an error. */
-    | { readonly kind: "answer"; readonly answer: BufferedAnswer; }
+    | { readonly kind: "answer"; readonly answer: BufferedAnswer; readonly trace: AttemptTrace; }
     /** The event stream was relayed to its end. */
     | { readonly kind: "streamed"; }
     | FailedAttempt;
@@ -218,8 +216,8 @@
         const body = await readAll(reply.body, maxMessageBytes.answer, held);
         held.complete();
         const isCloseDelimited = reply.isCloseDelimited === true;
-        const { status, isSealed, passthroughHeaders: headers } = head;
-        return { kind: "answer", answer: { status, isSealed, headers, body, isCloseDelimited, held } };
+        const { status, passthroughHeaders: headers } = head;
+        return { kind: "answer", answer: { status, headers, body, isCloseDelimited, held }, trace: recorder.read() };
     }
 
     async function relayStream(head: ReplyHead, reply: IncomingResponse): Promise<AttemptOutcome> {
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -3,7 +3,6 @@
  * the only place where direct dispatches are retried.
  */
 import VError from "verror";
-import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { HeldBytes } from "../../kernel/heldBytes.js";
 import type { BackendConnections, Host, HttpResponse, Logger } from "../../kernel/host.js";
 import { createVerdict } from "../../kernel/verdict.js";
@@ -24,10 +23,11 @@
 import type { ServerChoice } from "./serverChoice.js";
 import type { ServerLimits } from "./serverLimits.js";
 import type { ServerNotices } from "./serverNotices.js";
+import { createServerReports } from "./serverReports.js";
 import type { ServerView } from "./serverView.js";
 import type { StreamOrigins } from "./streamOrigins.js";
 import { isRepeatable } from "./types.js";
-import type { DirectCall, DirectProtocol, Headers, NamedLimit, ReplyHead } from "./types.js";
+import type { DirectCall, DirectProtocol, Headers } from "./types.js";
 
 /** Options of a delivery. */
 export interface DeliveryOptions {
@@ -142,6 +142,7 @@
     const { use } = options;
     const usedTokensPerEvent = use?.tokensPerEvent ?? use?.reservation.reservedTokens ?? 0;
     const crashWatch = options.crashGuard.watch(call);
+    const reports = createServerReports(host, options, call.head.requestId);
     options.retryWindow.recordRequest(call.pool, host.clock.nowMs());
     try {
         return await makeAttempts();
@@ -254,15 +255,12 @@
             log: options.log,
             enginePriority: call.head.generation === undefined ? undefined : getEnginePriority(call.priority),
             onLoad: load => options.loads.recordLoad(server.backendServer, load, host.clock.nowMs()),
-            onReplyHead(head) {
-                recordLimit(server, head.limit, nowMs);
-                recordNotices(server, head);
-            },
+            onReplyHead: head => reports.recordHead(server, head, nowMs),
             onStarted: () => {
                 options.loads.recordResponseStart(server.backendServer, dispatch, host.clock.nowMs());
                 progress.answeredAtMs ??= host.clock.nowMs();
             },
-            onSurplus: () => recordSurplus(server),
+            onSurplus: () => reports.recordSurplus(server),
         });
         const end = outcome.kind === "failed" ? outcome.end : outcome.kind === "answer" && outcome.answer.status >= 500 ? "failed" : "good";
         options.loads.end(server.backendServer, dispatch, end, host.clock.nowMs());
@@ -280,39 +278,11 @@
             crashWatch.recordBreak(server, progress.deliveredEvents - eventsBefore);
         }
         if (outcome.kind === "answer" && end === "failed") {
-            const { status, isSealed } = outcome.answer;
-            logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${status}`), { stage: "answered", status, isSealed });
+            logFailure(placement, createVerdict("ran", "backendServerFailed", `status ${outcome.answer.status}`), outcome.trace);
         }
         return outcome;
     }
 
-    function recordLimit(server: BackendServerRecord, limit: NamedLimit, sentAtMs: number): void {
-        const { backendServer, pool } = server;
-        const change = options.serverLimits.recordAnswer(backendServer, limit, sentAtMs, host.clock.nowMs());
-        if (change === "unchanged") return;
-        options.loadExchange.recordLimitChange();
-        const perSecond = limit.kind === "named" ? limit.perSecond : undefined;
-        options.log.info("A backend server changed its request limit.", { backendServer, pool, change, perSecond });
-    }
-
-    function recordNotices(server: BackendServerRecord, head: ReplyHead): void {
-        const { backendServer, pool } = server;
-        const nowMs = host.clock.nowMs();
-        if (head.isLeaving && options.serverNotices.recordLeaving(server, nowMs)) {
-            options.log.info("A backend server says in an answer that it leaves.", { backendServer, pool, requestId: call.head.requestId });
-        }
-        if (head.pauseMs === undefined) return;
-        options.serverNotices.recordPause(server, head.pauseMs, nowMs);
-        options.log.info("A backend server wants no requests for a time.", { backendServer, pool, pauseMs: head.pauseMs });
-    }
-
-    // May be called after the request has ended.
-    function recordSurplus({ backendServer, pool }: BackendServerRecord): void {
-        const ejectionMs = options.loads.recordSurplus(backendServer, host.clock.nowMs());
-        if (ejectionMs === undefined) return;
-        options.log.warn("A backend server is ejected because it keeps sending surplus bytes.", { backendServer, pool, ejectionMs });
-    }
-
     function logFailure(placement: Placement, verdict: Verdict, trace: AttemptTrace): void {
         options.log.info("An attempt failed.", {
             requestId: call.head.requestId,
