Do not send a dispatch to an agent on a connection before what has arrived is read

What callers would see (fleets with agents; no case of the users' is known): a request that its caller has left, or whose time has ended, is sent to an agent all the same and runs.

Cause: the same as for requests to backend servers: undici writes as soon as the connection is made, before an abort that came in the same turn is known. `Network.request` had no wait for the end of the turn, neither on new connections nor on kept ones.

Change: `kernel/connector.ts` makes connections for both, and `Network.request` waits for the end of the turn as requests to backend servers do.

Evidence: test/leavingCallers.test.ts, fourth test: one arrival before, none now; sentRequests, backendConnections, unaskedAnswers, surplusBytes, realHost, rpcSocket, rpcLink, endlessAnswers, endlessEngines and direct pass.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -8,6 +8,7 @@
 import { buildConnector, Client } from "undici";
 import VError from "verror";
 import { isAddress } from "./address.js";
+import { createConnector, leavePollPhase } from "./connector.js";
 import type { BackendConnectionOptions, BackendConnections, IncomingResponse, OutgoingRequest, TakePart } from "./host.js";
 import { NotSentError } from "./host.js";
 import { watchReads } from "./readWatch.js";
@@ -96,7 +97,7 @@
     }
 
     function createConnection(address: Address): Connection {
-        const connect = buildConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs });
+        const connect = createConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs });
         const connection: Connection = {
             isBusy: false,
             socket: undefined,
@@ -112,17 +113,16 @@
                 bodyTimeout: 0,
                 connect(target, callback) {
                     connect(target, (error, socket) => {
-                        if (error !== null || socket === null) return callback(error ?? new Error("no socket"), null);
-                        void leavePollPhase().then(() => handOver(socket as Socket, callback));
+                        if (error !== null || socket === null) return callback(error ?? new VError("no socket"), null);
+                        attach(socket as Socket);
+                        callback(null, socket);
                     });
                 },
             }),
         };
         return connection;
 
-        // undici writes the request at once. Its caller may have left while the connection was made.
-        function handOver(socket: Socket, callback: buildConnector.Callback): void {
-            if (socket.destroyed) return callback(socket.errored ?? new VError("the connection to %s was closed", address), null);
+        function attach(socket: Socket): void {
             connection.socketError = undefined;
             connection.responses = 0;
             connection.openedAtMs = clock.nowMs();
@@ -141,7 +141,6 @@
             socket.once("error", socketError => {
                 if ("syscall" in socketError) connection.socketError = socketError;
             });
-            callback(null, socket);
         }
     }
 
@@ -177,15 +176,6 @@
     queueMicrotask(() => void client.destroy());
 }
 
-/**
- * Ends once all that has arrived in this turn of the event loop is read: on a kept connection bytes that answer no request, or its close, and
- * from the caller of the request that it has left. undici waits for one more turn before it sends on a kept connection, but a wait that begins
- * in the poll phase ends before anything more is read.
- */
-function leavePollPhase(): Promise<void> {
-    return new Promise(resolve => setImmediate(resolve));
-}
-
 function canConnect(address: Address, timeoutMs: number): Promise<boolean> {
     const { hostname, port } = new URL(`http://${address}`);
     const connect = buildConnector({ timeout: timeoutMs });
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -5,6 +5,7 @@
 import { Agent, request as undiciRequest } from "undici";
 import { createNodeBackendConnections, flattenHeaders, toNetworkError } from "./backendConnections.js";
 import { createCallCounts } from "./callCounts.js";
+import { createConnector, leavePollPhase } from "./connector.js";
 import { fleetSecretHeader } from "./fleetSecret.js";
 import type { Clock, Disk, Host, IncomingResponse, Logger, Network } from "./host.js";
 import { serve } from "./httpServer.js";
@@ -53,7 +54,7 @@
 
 function createNodeNetwork({ fleetSecret, createLogger, failureDomain }: NodeHostOptions): Network {
     const pool = new Agent({
-        connect: { timeout: connectTimeoutMs },
+        connect: createConnector({ timeout: connectTimeoutMs }),
         keepAliveTimeout: keepAliveTimeoutMs,
         connections: 256,
         headersTimeout: 0,
@@ -74,6 +75,7 @@
         async request(address, request): Promise<IncomingResponse> {
             const sending = watchSending(request.signal);
             try {
+                await leavePollPhase();
                 const response = await undiciRequest(`http://${address}${request.path}`, {
                     dispatcher: pool.compose(sending.interceptor),
                     method: request.method as "GET",
--- a/test/leavingCallers.test.ts
+++ b/test/leavingCallers.test.ts
@@ -6,6 +6,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
 import { parseAddress } from "../src/kernel/address.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 import { createSealedHead, startRealDelivery } from "./realDelivery.js";
 import type { Arrival } from "./realDelivery.js";
 
@@ -47,6 +49,25 @@
     });
 }
 
+test("a dispatch to an agent that is aborted right after the connection was made is not sent", async t => {
+    const host = createNodeHost({ fleetSecret: "secret", createLogger: createSilentLogger });
+    let arrivals = 0;
+    const agent = net.createServer(socket => socket.on("error", () => undefined).on("data", () => arrivals++));
+    await new Promise<void>(resolve => agent.listen(0, "127.0.0.1", resolve));
+    const connects = holdConnects();
+    const abort = new AbortController();
+    const { port } = agent.address() as net.AddressInfo;
+    const request = host.network.request(`127.0.0.1:${port}`, { method: "POST", path: "/dispatch", signal: abort.signal });
+    await connects.held;
+    connects.release();
+    abort.abort();
+    await t.rejects(request);
+    await sleep(50);
+    connects.close();
+    agent.close();
+    t.equal(arrivals, 0);
+});
+
 /** Holds back the event that the next connection is made, so that it can come in one turn of the event loop with another event. */
 function holdConnects() {
     const channel = "net.client.socket";
