--- a/test/soakRun.ts
+++ b/test/soakRun.ts
@@ -34,7 +34,7 @@
 /** Time after the last request in which refused requests may still show up at a server. */
 const settleMs = 2_500;
 const stallPollMs = 20;
-/** Length of the string of digits that a random generator is started with for each part of a run. */
+/** Distance between the seeds of two runs. The parts of a run have the seeds in between. */
 const seedStride = 1_000;
 
 /** Runs the soak with a seed. */
--- a/test/soakTypes.ts
+++ b/test/soakTypes.ts
@@ -21,7 +21,7 @@
     readonly weight: number;
 }
 
-/** The routes of the soak. Times are those of the site that the incident names. */
+/** The routes of the soak. Times are those of the deployment that the incident names. */
 export const routeShapes: Readonly<Record<RouteKind, RouteShape>> = {
     order: {
         pool: "desk",
