Log on which connection an attempt was sent

Two attempts of one request on one connection looked in the log like two on different connections, so a copied refusal that is taken for the answer to the later attempt could not be told from other causes. "An attempt failed." names the port at the entry's end now. Test: the port is the one that the server sees, and the same for two requests on a kept connection.

--- a/src/entry/direct/attemptTrace.ts
+++ b/src/entry/direct/attemptTrace.ts
@@ -62,5 +62,6 @@
         notRunEvidence,
         serverConnectionAgeMs: connection === undefined ? undefined : Math.round(connection.ageMs),
         earlierAnswers: connection?.earlierAnswers,
+        serverConnectionPort: connection?.localPort,
     };
 }
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -58,7 +58,11 @@
                 release(isReusable);
             };
             const reportSent = () =>
-                request.onSent?.({ ageMs: clock.nowMs() - connection.openedAtMs, earlierAnswers: connection.responses });
+                request.onSent?.({
+                    ageMs: clock.nowMs() - connection.openedAtMs,
+                    earlierAnswers: connection.responses,
+                    localPort: connection.socket?.localPort,
+                });
             const sending = watchSending(request.signal, reportSent);
             try {
                 if (connection.client.stats.connected) await leavePollPhase();
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -129,6 +129,8 @@
     readonly ageMs: number;
     /** Number of answers that came on it before. */
     readonly earlierAnswers: number;
+    /** Port at this end, which tells it from other connections to the same address. */
+    readonly localPort: number | undefined;
 }
 
 /** Takes a part of a body. Returns a promise if it can take no more until that resolves. */
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -284,7 +284,7 @@
             after(getDelayMs(), () => {
                 const server = findServer(address);
                 if (server === undefined) return runIfCallerAlive(() => reject(new NotSentError(`connection to ${address} refused`)));
-                request.onSent?.({ ageMs: 0, earlierAnswers: 0 });
+                request.onSent?.({ ageMs: 0, earlierAnswers: 0, localPort: undefined });
                 const exchange = createExchange(fromIp, toIp, caller, server, request, resolve, reject);
                 server.options.handler(exchange.request, exchange.response).catch(() => exchange.response.abort());
             });
--- a/test/attemptTrace.test.ts
+++ b/test/attemptTrace.test.ts
@@ -19,6 +19,19 @@
     ]);
 });
 
+test("attempts on the same connection are traced with the same port", async t => {
+    const serverPorts: unknown[] = [];
+    const delivery = await startRealDelivery("nonIdempotent", arrival => {
+        serverPorts.push(arrival.socket.remotePort);
+        refuse(arrival);
+    });
+    await delivery.call("a1");
+    await delivery.call("a2");
+    await delivery.close();
+    t.equal(serverPorts[0], serverPorts[1]);
+    t.same(delivery.results.map(result => result.failedAttempts[0]!.connection?.localPort), serverPorts);
+});
+
 test("an attempt whose connection was reset after the request was read is traced as sent", async t => {
     const delivery = await startRealDelivery("nonIdempotent", ({ socket }) => void socket.resetAndDestroy());
     await delivery.call("a1");
