Known red: a copied refusal makes a request run twice, or be refused although it runs

A server at a known address has another name; the request that it refused is sent to it again under the new name, on the same connection, and the copy of the refusal arrives. The attempt counts as not run: the request goes to another server (TWICE) or is answered 503 (REFUSED).

The fault soak with real processes gets copies of refusals, and servers that start under another name and announce it later.

--- a/test/realDelivery.ts
+++ b/test/realDelivery.ts
@@ -51,6 +51,10 @@
     useServers(count: number): void;
     /** Sends requests to the backend server with this index from now on. */
     useOnlyServer(index: number): void;
+    /** Gives a backend server that is in use another name, as if it had been started again at its address. */
+    renameServer(index: number, backendServer: string): void;
+    /** Sends requests also to the backend server with this index from now on. */
+    addServer(index: number): void;
     /** Lets the backend server with this index refuse connections from now on. */
     stopServer(index: number): void;
     close(): Promise<void>;
@@ -156,6 +160,15 @@
         useOnlyServer(index) {
             usedServers = servers.slice(index, index + 1);
         },
+        renameServer(index, backendServer) {
+            const { address } = servers[index]!.record;
+            usedServers = usedServers.map(server =>
+                server.record.address === address ? { ...server, record: { ...server.record, backendServer } } : server
+            );
+        },
+        addServer(index) {
+            usedServers = [...usedServers, servers[index]!];
+        },
         stopServer: index => servers[index]!.close(),
         async close() {
             connections.close();
--- a/test/soakFaults.ts
+++ b/test/soakFaults.ts
@@ -31,6 +31,7 @@
     | "refuseLink"
     | "restartServer"
     | "renameServer"
+    | "renameServerLate"
     | "releaseServer"
     | "drainServer"
     | "changeConfiguration";
@@ -53,6 +54,9 @@
 /** A slow entry runs for a quarter of the time, as one with a quarter of a core. */
 const slowRunMs = 75;
 const slowPauseMs = 225;
+/** Delay of a link, in each direction, to a server that has not announced its new name yet. */
+const slowLinkMs = 40;
+const slowLinkTailMs = 500;
 
 /** Shares of the kinds of faults. */
 const faultWeights: Readonly<Record<FaultKind, number>> = {
@@ -70,6 +74,7 @@
     refuseLink: 1,
     restartServer: 1,
     renameServer: 1,
+    renameServerLate: 1,
     releaseServer: 1,
     drainServer: 0.5,
     changeConfiguration: 1,
@@ -109,6 +114,12 @@
         const server = chooseServer(targets, fault);
         server.restart(`${server.id}b`, server.softwareVersion);
     },
+    // Entries know the server under its former name until it announces itself, over a slow link.
+    async renameServerLate(targets, fault) {
+        const server = chooseServer(targets, fault);
+        server.restart(`${server.id}l`, server.softwareVersion, fault.forMs);
+        await harmServer(targets, server, { ...soundLink, delayMs: slowLinkMs }, fault.forMs + slowLinkTailMs);
+    },
     async releaseServer(targets, fault) {
         const server = chooseServer(targets, fault);
         server.restart(`${server.id}r`, server.softwareVersion === "v1" ? "v2" : "v1");
@@ -203,11 +214,14 @@
     if (fleet.processes.get(name) === process) restart();
 }
 
-async function harmLink(targets: FaultTargets, fault: Fault, linkFault: LinkFault): Promise<void> {
-    const server = chooseServer(targets, fault);
-    targets.ledger.disturb(server.id, Date.now(), Date.now() + fault.forMs);
+function harmLink(targets: FaultTargets, fault: Fault, linkFault: LinkFault): Promise<void> {
+    return harmServer(targets, chooseServer(targets, fault), linkFault, fault.forMs);
+}
+
+async function harmServer({ ledger }: FaultTargets, server: SoakServer, linkFault: LinkFault, forMs: number): Promise<void> {
+    ledger.disturb(server.id, Date.now(), Date.now() + forMs);
     server.proxy.setFault(linkFault);
-    await wait(fault.forMs);
+    await wait(forMs);
     server.proxy.setFault(soundLink);
 }
 
--- a/test/soakServer.ts
+++ b/test/soakServer.ts
@@ -13,6 +13,7 @@
     | "failed"
     | "refused"
     | "refusedWithPause"
+    | "refusedTwice"
     | "reset"
     | "ended"
     | "cutHead"
@@ -32,6 +33,7 @@
     failed: 0.03,
     refused: 0.06,
     refusedWithPause: 0.01,
+    refusedTwice: 0.03,
     reset: 0.02,
     ended: 0.02,
     cutHead: 0.01,
@@ -64,6 +66,7 @@
     failed: ({ response, headers }) => void response.writeHead(500, { ...headers, "Content-Length": "4" }).end("fail"),
     refused: ({ response, headers }) => writeRefusal(response, headers),
     refusedWithPause: ({ response, headers }) => writeRefusal(response, { ...headers, "Retry-After": "0.3" }),
+    refusedTwice: ({ response, headers }) => writeRefusal(response, headers),
     reset: ({ socket }) => resetSocket(socket),
     ended: ({ socket }) => void socket.end(),
     cutHead: ({ socket }) => void socket.end("HTTP/1.1 200 OK\r\nX-Att"),
@@ -91,8 +94,8 @@
     readonly id: string;
     readonly softwareVersion: string;
     readonly proxy: Proxy;
-    /** Ends all work and starts anew under an id, which may be the same, with a version of its software. */
-    restart(id: string, softwareVersion: string): void;
+    /** Ends all work and starts anew under an id, which may be the same, with a version of its software. It may announce itself later. */
+    restart(id: string, softwareVersion: string, announceAfterMs?: number): void;
     setState(state: "ready" | "draining"): void;
     stop(): Promise<void>;
 }
@@ -111,6 +114,10 @@
 const heartbeatMs = 1_200;
 const eventGapMs = 40;
 const copyDelayMs = 60;
+/** Copies of refusals are written within this time after the next request. Shorter than the work on it. */
+const maxCopyDelayMs = 20;
+/** Share of the requests for another server whose refusal is written twice. */
+const misdirectedTwiceShare = 0.5;
 const slots = 64;
 /** Distance of the port on which a server listens from the one that it announces. */
 const portOffset = 10;
@@ -123,12 +130,15 @@
     const sockets = new Set<Socket>();
     /** The last run on each connection. A connection carries one request at a time. */
     const runs = new WeakMap<Socket, Run>();
+    /** Copies of refusals that are written where the next answer is due. */
+    const copies = new WeakMap<Socket, string>();
     let { id } = options;
     let softwareVersion = "v1";
     let bornMs = Date.now();
     let sequence = 0;
     let state: "ready" | "draining" = "ready";
     let isStopped = false;
+    let announcesFromMs = 0;
     const server = http.createServer((request, response) => {
         request.resume();
         request.on("end", () => take(request, response));
@@ -160,14 +170,15 @@
             return softwareVersion;
         },
         proxy,
-        restart(newId, newVersion) {
+        restart(newId, newVersion, announceAfterMs = 0) {
             for (const socket of sockets) resetSocket(socket);
             id = newId;
             softwareVersion = newVersion;
             bornMs = Date.now();
             sequence = 0;
             state = "ready";
-            void announce();
+            announcesFromMs = bornMs + announceAfterMs;
+            setTimeout(() => void announce(), announceAfterMs);
         },
         setState(newState) {
             state = newState;
@@ -187,9 +198,14 @@
         const kind = request.url?.split("/")[1] as RouteKind;
         if (typeof attemptId !== "string") return void response.writeHead(400, { "X-Not-Executed": "1", "Content-Length": "0" }).end();
         const headers = { "X-Attempt-Id": attemptId, "X-Worker-Load": `${sockets.size},0,${slots}` };
-        if (request.headers["x-expect-worker"] !== id) return void response.writeHead(421, { ...headers, "Content-Length": "0" }).end();
+        writeCopy(request.socket);
+        if (request.headers["x-expect-worker"] !== id) {
+            if (random() < misdirectedTwiceShare) copies.set(request.socket, createMisdirectedText(attemptId));
+            return void response.writeHead(421, { ...headers, "Content-Length": "0" }).end();
+        }
         const answer = chooseAnswer(random());
-        const isRefused = answer === "refused" || answer === "refusedWithPause";
+        if (answer === "refusedTwice") copies.set(request.socket, createRefusalText(attemptId));
+        const isRefused = answer === "refused" || answer === "refusedWithPause" || answer === "refusedTwice";
         const run = isRefused ? undefined : beginRun(request, attemptId, answer);
         const exchange: Exchange = {
             softwareVersion,
@@ -209,6 +225,13 @@
         }, workMs);
     }
 
+    function writeCopy(socket: Socket): void {
+        const text = copies.get(socket);
+        if (text === undefined) return;
+        copies.delete(socket);
+        setTimeout(() => socket.writable && socket.write(text), random() * maxCopyDelayMs);
+    }
+
     function beginRun({ headers, socket }: http.IncomingMessage, attemptId: string, answer: AnswerKind): Run {
         const resumed = headers["resumes"];
         const streamId = typeof resumed === "string" ? resumed : attemptId;
@@ -218,6 +241,7 @@
     }
 
     async function announce(): Promise<void> {
+        if (Date.now() < announcesFromMs) return;
         const body = JSON.stringify({
             service,
             address: `${host}:${port}`,
@@ -260,6 +284,14 @@
     response.writeHead(503, { ...headers, "X-Not-Executed": "1", "Content-Length": "0" }).end();
 }
 
+function createRefusalText(attemptId: string): string {
+    return `HTTP/1.1 503 Busy\r\nX-Attempt-Id: ${attemptId}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+function createMisdirectedText(attemptId: string): string {
+    return `HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: ${attemptId}\r\nContent-Length: 0\r\n\r\n`;
+}
+
 function withoutSeal({ "X-Worker-Seal": _, ...headers }: Exchange["headers"]): Exchange["headers"] {
     return headers;
 }
