Send no request on a connection on which it has been refused

Callers saw a request run twice, or got 503 for one that ran. A server may write a refusal once more, where the next answer of its connection is due. Answers are matched by the request's id, so a copy is told from the answer, unless the refused request itself is in progress again on that connection. That happens when a server has started under another name at an address that the entry knows under the former one: it answers 421 until its heartbeat has reached the entry, and is then chosen as a server that the request has not tried. The connection pool goes by address and takes the last connection used, which is the one that carried the refusal. The copy then counts as the second attempt's refusal while that attempt runs.

The connection remembers the ids of the requests that were refused on it and does not carry them again, so an id tells the answer from all that came before. It is closed after a hundred refusals, or 16 KiB of ids, so that this is bounded.

--- a/src/entry/direct/attempt.ts
+++ b/src/entry/direct/attempt.ts
@@ -115,6 +115,7 @@
             headers: protocol.createDispatchHeaders(call.head, metadata),
             body: call.request.body.length > 0 || call.request.headers["transfer-encoding"] !== undefined ? call.request.body : undefined,
             signal: abortController.signal,
+            requestId: call.head.requestId,
             onSurplus: options.onSurplus,
             onSent: recorder.recordSent,
         });
@@ -154,6 +155,7 @@
         if (head.load !== undefined) options.onLoad(head.load);
         if (!head.isMisdirected && head.requestId !== undefined) options.onReplyHead(head);
         if (head.isMisdirected || head.isNotRun) {
+            reply.recordRefusal?.();
             recorder.recordNotRun(head.isNotRun ? "header" : "misdirected");
             if (head.requestId === undefined) abortController.abort();
             else await discardRefusal(reply);
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -13,6 +13,8 @@
 import { NotSentError } from "./host.js";
 import { watchReads } from "./readWatch.js";
 import type { ReadWatch, ReadWatchOptions } from "./readWatch.js";
+import { createRefusedIds } from "./refusedIds.js";
+import type { RefusedIds } from "./refusedIds.js";
 import { watchSending } from "./sendWatch.js";
 import type { SendWatch } from "./sendWatch.js";
 import type { Address } from "./types.js";
@@ -28,6 +30,8 @@
     onSurplus: (() => void) | undefined;
     /** Number of responses that have begun on the current socket. */
     responses: number;
+    /** Ids of the requests that were refused on the current socket. */
+    readonly refusedIds: RefusedIds;
     /** Time at which the current socket was connected. */
     openedAtMs: number;
     isBusy: boolean;
@@ -48,14 +52,14 @@
     return {
         async request(address, request) {
             if (!isAddress(address)) throw new NotSentError(`${address} is not an IP address with a port`);
-            const connection = acquireConnection(address);
+            const connection = acquireConnection(address, request.requestId);
             const release = createRelease(address, connection);
             // When the caller stops reading the response, only the abort signal releases the connection.
             const discard = () => release(false);
             request.signal?.addEventListener("abort", discard, { once: true });
-            const end = (isReusable: boolean) => {
+            const end = (isWhole: boolean) => {
                 request.signal?.removeEventListener("abort", discard);
-                release(isReusable);
+                release(isWhole);
             };
             const reportSent = () =>
                 request.onSent?.({
@@ -71,6 +75,9 @@
                     ...response,
                     body: readBody(connection, response, end),
                     forEachPart: take => readParts(connection, response, take, end),
+                    recordRefusal() {
+                        if (request.requestId !== undefined) connection.refusedIds.add(request.requestId);
+                    },
                 };
             }
             catch (error) {
@@ -86,13 +93,11 @@
     };
 
     // Prefers the most recently used connection, which the server is least likely to have closed.
-    function acquireConnection(address: Address): Connection {
+    function acquireConnection(address: Address, requestId: string | undefined): Connection {
         const connections = byAddress.get(address) ?? [];
         byAddress.set(address, connections);
-        const idle = connections.findLast(connection => !connection.isBusy);
-        if (idle === undefined && connections.length >= options.maxConnections) {
-            throw new NotSentError(`all ${options.maxConnections} connections to ${address} are in use`);
-        }
+        const idle = connections.findLast(connection => !connection.isBusy && mayCarry(connection, requestId));
+        if (idle === undefined && connections.length >= options.maxConnections) closeOneIdle(address, connections);
         const acquired = idle ?? createConnection(address);
         if (idle !== undefined) connections.splice(connections.indexOf(idle), 1);
         connections.push(acquired);
@@ -100,6 +105,14 @@
         return acquired;
     }
 
+    /** Makes room for a connection to an address by closing one that is idle and may not carry the request. */
+    function closeOneIdle(address: Address, connections: Connection[]): void {
+        const idle = connections.find(connection => !connection.isBusy);
+        if (idle === undefined) throw new NotSentError(`all ${options.maxConnections} connections to ${address} are in use`);
+        connections.splice(connections.indexOf(idle), 1);
+        closeConnection(idle);
+    }
+
     function createConnection(address: Address): Connection {
         const connect = createConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs });
         const connection: Connection = {
@@ -109,6 +122,7 @@
             socketError: undefined,
             onSurplus: undefined,
             responses: 0,
+            refusedIds: createRefusedIds(),
             openedAtMs: 0,
             client: new Client(`http://${address}`, {
                 pipelining: 1,
@@ -129,6 +143,7 @@
         function attach(socket: Socket): void {
             connection.socketError = undefined;
             connection.responses = 0;
+            connection.refusedIds.clear();
             connection.openedAtMs = clock.nowMs();
             connection.socket = socket;
             connection.watch = watchReads(socket, {
@@ -149,12 +164,13 @@
     }
 
     // Releasing a connection also removes closed idle ones from the pool, so that no state remains for removed servers.
-    function createRelease(address: Address, connection: Connection): (isReusable: boolean) => void {
+    function createRelease(address: Address, connection: Connection): (isWhole: boolean) => void {
         let isReleased = false;
-        return isReusable => {
+        return isWhole => {
             if (isReleased) return;
             isReleased = true;
             connection.isBusy = false;
+            const isReusable = isWhole && !connection.refusedIds.isFull;
             if (!isReusable) closeConnection(connection);
             const isKept = (other: Connection) => other === connection ? isReusable : other.isBusy || other.client.stats.connected;
             const remaining = (byAddress.get(address) ?? []).filter(isKept);
@@ -164,6 +180,11 @@
     }
 }
 
+/** False if a copy of an earlier refusal on the connection could be taken for the answer to the request. */
+function mayCarry({ refusedIds }: Connection, requestId: string | undefined): boolean {
+    return requestId === undefined || !refusedIds.has(requestId);
+}
+
 /**
  * Tells at the end of a connection whether it was reset. A reset that is read together with the last bytes is reported as an ordinary end. But a
  * connection that was reset has no peer any more, while one that its peer has ended still has one.
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -118,6 +118,11 @@
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: Uint8Array;
     readonly signal?: AbortSignal;
+    /**
+     * Identifier that answers repeat. Connections to backend servers send no request on a connection on which one with the same id was refused,
+     * because a copy of that refusal could not be told from the answer.
+     */
+    readonly requestId?: string;
     /** Called if bytes arrive after the complete response. Connections to backend servers report this and are closed then. */
     readonly onSurplus?: () => void;
     /** Called when the request is handed to an established connection. Connections to backend servers report this. */
@@ -150,6 +155,8 @@
     readonly isCloseDelimited?: boolean;
     /** True if no request was sent on the connection before this one, so that the response cannot be a copy of an earlier one. */
     readonly isFirstOnConnection?: boolean;
+    /** Records that the response refuses its request. Connections to backend servers have this. */
+    readonly recordRefusal?: () => void;
 }
 
 /** Thrown if a request failed before any part of it was handed to an established connection. */
--- a/test/red/copiedRefusals.test.ts
+++ b/test/copiedRefusals.test.ts
@@ -1,7 +1,7 @@
 /** Copies of a refusal that arrive while the refused request is in progress again, on real sockets. */
 import { test } from "tap";
-import { createSealedHead, startRealDelivery } from "../realDelivery.js";
-import type { Arrival } from "../realDelivery.js";
+import { createSealedHead, startRealDelivery } from "./realDelivery.js";
+import type { Arrival } from "./realDelivery.js";
 
 const refusals = {
     421: "HTTP/1.1 421 Misdirected Request",
@@ -83,6 +83,20 @@
     t.match(text, /^HTTP\/1\.1 200 /);
 });
 
+test("a connection is closed after a hundred refusals, whose ids it would have to remember", async t => {
+    const delivery = await startRealDelivery("nonIdempotent", arrival => refuse(arrival, 503));
+    for (let call = 1; call <= 101; call++) await delivery.call(`a${call}`);
+    await delivery.close();
+    t.same(delivery.arrivals.map(({ connection }) => connection), [...Array<number>(100).fill(1), 2]);
+});
+
+test("a connection is closed after refusals of requests with long ids", async t => {
+    const delivery = await startRealDelivery("nonIdempotent", arrival => refuse(arrival, 503));
+    for (const letter of ["a", "b", "c"]) await delivery.call(letter.repeat(8_192));
+    await delivery.close();
+    t.same(delivery.arrivals.map(({ connection }) => connection), [1, 1, 2]);
+});
+
 test("other requests are sent on the connection of a refused one", async t => {
     const delivery = await startRealDelivery("nonIdempotent", arrival => arrival.number === 1 ? refuse(arrival, 503) : answer(arrival));
     await delivery.call("a1");
