Continue a stream by the latest record of a majority, not by the first reply

An attempt tells control its version before its outcome is known, so a stream whose first attempt failed has two records. The entry that took the stream up decided by the first reply of three, from a control VM that still had the record of the failed attempt (log: isRecorded, replies 1).

Records have the number of their attempt now. Control keeps the latest, also if an earlier one arrives late, and an entry takes the latest one among the answers of a majority. A record that replaces another version holds the first event as after a change of versions, because the stream would not be refused without it.

Tests: 6 of 12 streams went on at the other version before, none now; two more tests of the table and of the decision failed before.

--- a/src/control/streamOrigins.ts
+++ b/src/control/streamOrigins.ts
@@ -32,6 +32,7 @@
     return {
         record(newOrigins, nowMs) {
             for (const origin of newOrigins) {
+                if (isReplaced(origin)) continue;
                 origins.delete(origin.requestId);
                 origins.set(origin.requestId, { ...origin, recordedAtMs: nowMs });
             }
@@ -42,7 +43,9 @@
             const origin = requestId === undefined ? undefined : origins.get(requestId);
             const versionsSince = versions.listVersionsSince(pool, nowMs - windowMs);
             return {
-                origin: origin === undefined ? undefined : { pool: origin.pool, softwareVersion: origin.softwareVersion },
+                origin: origin === undefined
+                    ? undefined
+                    : { pool: origin.pool, softwareVersion: origin.softwareVersion, attempt: origin.attempt },
                 isWindowKnown: versions.isKnownSince(nowMs - windowMs),
                 versionBefore: versions.getOnlyVersionAt(pool, nowMs - windowMs),
                 routesBefore: routes.getDigestAt(nowMs - windowMs),
@@ -53,6 +56,11 @@
         },
     };
 
+    /** Records are sent again until a majority has them, so an earlier one may arrive after the one that replaces it. */
+    function isReplaced({ requestId, attempt = 0 }: StreamOriginRecord): boolean {
+        return attempt < (origins.get(requestId)?.attempt ?? 0);
+    }
+
     /** Empty while the pool has only one version. */
     function getVersionByServer(pool: string, sinceMs: number): Readonly<Record<string, string>> {
         if (versions.listVersionsSince(pool, sinceMs).length < 2) return {};
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -241,7 +241,8 @@
         if (call.route.repeat === "resumableStream" && progress.softwareVersion === undefined) {
             const { pool, softwareVersion } = server;
             const target = { host: call.head.host, path: call.request.path };
-            progress.originRecorded = options.streamOrigins.record(call.head.requestId, { pool, softwareVersion }, target);
+            const record = { requestId: call.head.requestId, pool, softwareVersion, attempt: progress.dispatches };
+            progress.originRecorded = options.streamOrigins.record(record, target);
         }
         const dispatch = options.loads.begin(server.backendServer, placement, call.head.promptParts, nowMs);
         options.loadExchange.recordDispatch(server.backendServer, placement.prefillTokens, call.head.promptParts.map(part => part.partId));
--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -21,7 +21,7 @@
 import type { RequestTarget } from "./routedPools.js";
 
 /** The pool and the version of a stream. */
-export type StreamOrigin = Omit<StreamOriginRecord, "requestId">;
+export type StreamOrigin = Pick<StreamOriginRecord, "pool" | "softwareVersion">;
 
 /** Where a stream may go on. */
 export interface StreamContinuation extends StreamOrigin {
@@ -39,7 +39,7 @@
     /** Sets the longest time for which a caller may take a stream up again. */
     setWindow(windowMs: number): void;
     /** Records where a stream is about to begin. Resolves once a majority of the control VMs has the record, or after the maximum wait. */
-    record(requestId: string, origin: StreamOrigin, target: RequestTarget): Promise<void>;
+    record(record: StreamOriginRecord, target: RequestTarget): Promise<void>;
     /**
      * Returns where the stream that a request resumes may go on. Undefined if that is not certain. `routedPool` is one of the pools that the
      * request may be sent to now.
@@ -112,18 +112,21 @@
         setWindow(newWindowMs) {
             windowMs = newWindowMs;
         },
-        record(requestId, origin, target) {
+        record(record, target) {
+            const { requestId, pool, softwareVersion } = record;
+            const replaced = ownOrigins.get(requestId);
             ownOrigins.delete(requestId);
-            ownOrigins.set(requestId, origin);
+            ownOrigins.set(requestId, { pool, softwareVersion });
             if (ownOrigins.size > maxOwnOrigins) ownOrigins.delete(ownOrigins.keys().next().value!);
             if (!isSharedId(requestId)) return Promise.resolve();
             const nowMs = host.clock.nowMs();
             const sinceMs = nowMs - windowMs;
-            const isOnlyPool = pools.getOnlyPoolSince(target, sinceMs) === origin.pool;
-            if (isOnlyPool && versions.getOnlyVersionSince(origin.pool, sinceMs) !== undefined) return Promise.resolve();
+            const isOnlyPool = pools.getOnlyPoolSince(target, sinceMs) === pool;
+            if (isOnlyPool && versions.getOnlyVersionSince(pool, sinceMs) !== undefined) return Promise.resolve();
             const current = batch ?? startBatch();
-            const isRefusedUnlessRecorded = pools.hadSeveralSince(target, sinceMs) || versions.hadSeveralSince(origin.pool, sinceMs, nowMs);
-            current.origins.push({ record: { requestId, ...origin }, untilMs: nowMs + maxHoldAfterChangeMs });
+            const isRefusedUnlessRecorded = !replacesOther(record, replaced) &&
+                (pools.hadSeveralSince(target, sinceMs) || versions.hadSeveralSince(pool, sinceMs, nowMs));
+            current.origins.push({ record, untilMs: nowMs + maxHoldAfterChangeMs });
             return Promise.race([current.ended, sleep(host.timers, isRefusedUnlessRecorded ? maxHoldMs : maxHoldAfterChangeMs)]);
         },
         async resolve(requestId, target, routedPool) {
@@ -265,14 +268,15 @@
 /**
  * Returns where a stream began, or undefined if that is not certain yet. Each recorded stream is known to a majority. So a stream that no
  * VM of a majority knows was not recorded, if these VMs have run long enough to have received it, or know of no other pool or version now.
+ * A single VM may still have the record of an attempt that failed before the one that began the stream.
  */
 export function decideOrigin(evidence: OriginEvidence): StreamOrigin | undefined {
     const { replies, memberCount, pool, onlyVersion, leadToPool = () => true } = evidence;
-    const known = replies.find(reply => reply.origin !== undefined)?.origin;
-    if (known !== undefined) return known;
+    const isMajority = (count: number) => count * 2 > memberCount;
+    const recorded = replies.flatMap(reply => reply.origin ?? []);
+    if (recorded.length > 0) return isMajority(replies.length) ? getLatest(recorded) : undefined;
     const witnesses = replies.filter(reply => reply.isWindowKnown);
     const [versionBefore, ...otherVersions] = new Set(witnesses.map(reply => reply.versionBefore));
-    const isMajority = (count: number) => count * 2 > memberCount;
     const beganInPool = witnesses.every(reply => leadToPool(reply.routesBefore));
     if (isMajority(witnesses.length) && beganInPool && versionBefore !== undefined && otherVersions.length === 0) {
         return { pool, softwareVersion: versionBefore };
@@ -283,6 +287,15 @@
     return { pool, softwareVersion: onlyVersion };
 }
 
+function getLatest(recorded: readonly Omit<StreamOriginRecord, "requestId">[]): StreamOrigin {
+    const { pool, softwareVersion } = recorded.reduce((latest, other) => (other.attempt ?? 0) > (latest.attempt ?? 0) ? other : latest);
+    return { pool, softwareVersion };
+}
+
+function replacesOther({ pool, softwareVersion }: StreamOrigin, replaced: StreamOrigin | undefined): boolean {
+    return replaced !== undefined && (replaced.pool !== pool || replaced.softwareVersion !== softwareVersion);
+}
+
 function isSharedId(requestId: string): boolean {
     return requestId !== "" && requestId.length <= maxSharedIdLength;
 }
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -119,6 +119,11 @@
     requestId: boundedString,
     pool: boundedString,
     softwareVersion: z.string().max(maxTextLength),
+    /**
+     * Number of the attempt, from 1, that is about to begin the stream. A record of a later attempt replaces those of earlier ones. Absent from an
+     * entry of an earlier version.
+     */
+    attempt: z.int().positive().optional(),
 }).readonly();
 /** Where a resumable stream began. */
 export type StreamOriginRecord = z.infer<typeof streamOriginSchema>;
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -1,7 +1,11 @@
 /** A stream goes on only at servers of the software version that began it. */
 import { test } from "tap";
+import { createStreamOriginTable } from "../src/control/streamOrigins.js";
 import { decideOrigin } from "../src/entry/direct/streamOrigins.js";
 import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
+import { createRouteHistory } from "../src/kernel/routeHistory.js";
+import { sleep } from "../src/kernel/tasks.js";
+import { createVersionHistory } from "../src/kernel/versionHistory.js";
 import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
 import type { CallResult, DirectFleet, FakeServer, ServerBehavior } from "./directFleet.js";
 
@@ -97,6 +101,68 @@
     }
 });
 
+test("a stream goes on at the version that began it, although one control VM knows only of an attempt that failed before", async t => {
+    const fleet = await createMixedFleet(83, ["v1", "v2"]);
+    const [older, newer] = fleet.servers;
+    older!.behavior = holdAfterFirstEvent;
+    let failed = 0;
+    newer!.behavior = async (request, response) => {
+        failed++;
+        await sleep(fleet.callerVm.host.timers, 30);
+        response.start(503, { "x-attempt-id": request.headers["x-attempt-id"] ?? "", "x-not-executed": "1" });
+        response.end();
+    };
+    const [outdated, ...others] = fleet.controls.map(control => control.process!.part.api);
+    const { recordOrigins } = outdated!;
+    const known = new Set<string>();
+    Object.assign(outdated!, {
+        recordOrigins(message: Parameters<typeof recordOrigins>[0]) {
+            if (message.origins.some(({ requestId }) => known.has(requestId))) throw new Error("The control VM is not reached.");
+            for (const { requestId } of message.origins) known.add(requestId);
+            return recordOrigins(message);
+        },
+    });
+    for (const api of others) {
+        const { findOrigin } = api;
+        const findLate = async (request: Parameters<typeof findOrigin>[0]) => {
+            await sleep(fleet.callerVm.host.timers, 50);
+            return findOrigin(request);
+        };
+        Object.assign(api, { findOrigin: findLate });
+    }
+    const ids = Array.from({ length: 12 }, (_, index) => `a${index}`);
+    for (const id of ids) void fleet.call(0, { path: "/resume/1", id, deadlineMs: 10_000 });
+    await fleet.simulation.advance(400);
+    t.ok(failed > 0);
+    newer!.behavior = sendCompleteAnswer;
+    for (const id of ids) {
+        t.match(await resume(fleet, 1, `b-${id}`, id), { status: 200, isComplete: true });
+        t.equal(findRunner(fleet, `b-${id}`)?.version, "v1", id);
+    }
+});
+
+test("a record of an earlier attempt that arrives late does not replace that of a later one", t => {
+    const table = createStreamOriginTable(createVersionHistory(), createRouteHistory(), () => []);
+    const find = () => table.find({ requestId: "a", pool: "p", windowMs: 1_000 }, 2).origin;
+    table.record([{ requestId: "a", pool: "p", softwareVersion: "v1", attempt: 2 }], 0);
+    table.record([{ requestId: "a", pool: "p", softwareVersion: "v2", attempt: 1 }], 1);
+    t.match(find(), { softwareVersion: "v1", attempt: 2 });
+    table.record([{ requestId: "a", pool: "p", softwareVersion: "v3", attempt: 3 }], 2);
+    t.match(find(), { softwareVersion: "v3", attempt: 3 });
+    t.end();
+});
+
+test("where a stream began is known from the latest record of a majority", t => {
+    const reply = { isWindowKnown: true, versionBefore: "v1", versionsSince: ["v1", "v2"] };
+    const failed = { ...reply, origin: { pool: "p", softwareVersion: "v2", attempt: 1 } };
+    const begun = { ...reply, origin: { pool: "p", softwareVersion: "v1", attempt: 2 } };
+    const evidence = { memberCount: 3, pool: "p", onlyVersion: undefined };
+    t.equal(decideOrigin({ ...evidence, replies: [failed] }), undefined);
+    t.same(decideOrigin({ ...evidence, replies: [failed, begun] }), { pool: "p", softwareVersion: "v1" });
+    t.same(decideOrigin({ ...evidence, replies: [begun, failed] }), { pool: "p", softwareVersion: "v1" });
+    t.end();
+});
+
 test("a request with a very long id does not keep other streams from being told to control", async t => {
     const fleet = await createMixedFleet(87, ["v1", "v1", "v2", "v2"]);
     for (const server of fleet.servers) server.behavior = holdAfterFirstEvent;
