--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -17,12 +17,11 @@
 import type { HttpRouteObject } from "../../kernel/objects.js";
 import { getErrorText, runPeriodically, sleep } from "../../kernel/tasks.js";
 import { createVersionHistory } from "../../kernel/versionHistory.js";
+import { decideOrigin } from "./originDecision.js";
+import type { StreamOrigin } from "./originDecision.js";
 import { createRoutedPools } from "./routedPools.js";
 import type { RequestTarget } from "./routedPools.js";
 
-/** The pool and the version of a stream. */
-export type StreamOrigin = Pick<StreamOriginRecord, "pool" | "softwareVersion">;
-
 /** Where a stream may go on. */
 export interface StreamContinuation extends StreamOrigin {
     /** Backend servers that control knows to have another version, whatever this entry knows of them. */
@@ -250,48 +249,6 @@
     return { pool: origin.pool, softwareVersion: origin.softwareVersion, otherServers: new Set(others.map(([server]) => server)) };
 }
 
-/** What control VMs have answered so far about a stream, and what the entry knows itself. */
-export interface OriginEvidence {
-    readonly replies: readonly OriginReply[];
-    /** Number of control VMs, also of those that have not answered. */
-    readonly memberCount: number;
-    readonly pool: string;
-    /** The only version that the entry has known in the pool for as long as any caller takes a stream up again. */
-    readonly onlyVersion: string | undefined;
-    /**
-     * Returns true if the routes with a digest lead the request to the pool only. It gets undefined for those that a control VM of an earlier
-     * version does not name.
-     */
-    readonly leadToPool?: (routes: string | undefined) => boolean;
-}
-
-/**
- * Returns where a stream began, or undefined if that is not certain yet. Each recorded stream is known to a majority. So a stream that no
- * VM of a majority knows was not recorded, if these VMs have run long enough to have received it, or know of no other pool or version now.
- * A single VM may still have the record of an attempt that failed before the one that began the stream.
- */
-export function decideOrigin(evidence: OriginEvidence): StreamOrigin | undefined {
-    const { replies, memberCount, pool, onlyVersion, leadToPool = () => true } = evidence;
-    const isMajority = (count: number) => count * 2 > memberCount;
-    const recorded = replies.flatMap(reply => reply.origin ?? []);
-    if (recorded.length > 0) return isMajority(replies.length) ? getLatest(recorded) : undefined;
-    const witnesses = replies.filter(reply => reply.isWindowKnown);
-    const [versionBefore, ...otherVersions] = new Set(witnesses.map(reply => reply.versionBefore));
-    const beganInPool = witnesses.every(reply => leadToPool(reply.routesBefore));
-    if (isMajority(witnesses.length) && beganInPool && versionBefore !== undefined && otherVersions.length === 0) {
-        return { pool, softwareVersion: versionBefore };
-    }
-    if (!replies.every(reply => (reply.routesSince ?? [undefined]).every(leadToPool))) return undefined;
-    const agreeing = replies.filter(reply => reply.versionsSince?.every(version => version === onlyVersion));
-    if (onlyVersion === undefined || agreeing.length < replies.length || !isMajority(agreeing.length)) return undefined;
-    return { pool, softwareVersion: onlyVersion };
-}
-
-function getLatest(recorded: readonly Omit<StreamOriginRecord, "requestId">[]): StreamOrigin {
-    const { pool, softwareVersion } = recorded.reduce((latest, other) => (other.attempt ?? 0) > (latest.attempt ?? 0) ? other : latest);
-    return { pool, softwareVersion };
-}
-
 function replacesOther({ pool, softwareVersion }: StreamOrigin, replaced: StreamOrigin | undefined): boolean {
     return replaced !== undefined && (replaced.pool !== pool || replaced.softwareVersion !== softwareVersion);
 }
--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -3,18 +3,18 @@
  * socket errors, so that a close-delimited response that is complete can be told from one that was cut off by a reset.
  */
 import type { Socket } from "node:net";
-import { finished } from "node:stream";
-import type { Readable } from "node:stream";
 import { buildConnector, Client } from "undici";
 import VError from "verror";
 import { isAddress } from "./address.js";
 import { createConnector, leavePollPhase } from "./connector.js";
-import type { BackendConnectionOptions, BackendConnections, IncomingResponse, OutgoingRequest, TakePart } from "./host.js";
+import type { BackendConnectionOptions, BackendConnections, OutgoingRequest } from "./host.js";
 import { NotSentError } from "./host.js";
 import { watchReads } from "./readWatch.js";
 import type { ReadWatch, ReadWatchOptions } from "./readWatch.js";
 import { createRefusedIds } from "./refusedIds.js";
 import type { RefusedIds } from "./refusedIds.js";
+import { readBody, readParts } from "./responseBody.js";
+import type { ReadableResponse } from "./responseBody.js";
 import { watchSending } from "./sendWatch.js";
 import type { SendWatch } from "./sendWatch.js";
 import type { Address } from "./types.js";
@@ -212,88 +212,6 @@
     });
 }
 
-/** Reads a body by its `data` events, because an iterator takes several promises for each part. */
-async function forEachPart(connection: Connection, response: ReadableResponse, take: TakePart): Promise<void> {
-    const { body } = response;
-    // Set while `take` is busy with a part. The body is paused meanwhile.
-    let taking: Promise<void> | undefined;
-    await new Promise<void>((resolve, reject) => {
-        const stop = (error: unknown) => {
-            reject(error as Error);
-            body.destroy();
-        };
-        // A part that is still being taken comes before the end, so that nothing is written for this response after it.
-        finished(body, { writable: false }, error => {
-            const settle = () => error instanceof Error ? reject(error) : resolve();
-            if (taking === undefined) settle();
-            else taking.then(settle, settle);
-        });
-        const resume = () => {
-            taking = undefined;
-            body.resume();
-        };
-        body.on("data", (part: Uint8Array) => {
-            try {
-                connection.watch?.addBodyBytes(part.length);
-                taking = take(part);
-                if (taking === undefined) return;
-                body.pause();
-                taking.then(resume, stop);
-            }
-            catch (error) {
-                stop(error);
-            }
-        });
-    });
-    checkEnd(connection, response);
-}
-
-// undici treats a connection reset as the normal end of a response without a length.
-function checkEnd(connection: Connection, response: IncomingResponse): void {
-    if (connection.socketError !== undefined && response.isCloseDelimited === true) throw connection.socketError;
-}
-
-/** Calls `onEnd` when nothing more is read, with true if the whole body was read. */
-async function readParts(
-    connection: Connection,
-    response: ReadableResponse,
-    take: TakePart,
-    onEnd: (isWhole: boolean) => void,
-): Promise<void> {
-    let isWhole = false;
-    try {
-        await forEachPart(connection, response, take);
-        isWhole = true;
-    }
-    finally {
-        onEnd(isWhole);
-    }
-}
-
-/** Calls `onEnd` when nothing more is read, with true if the whole body was read. */
-async function* readBody(
-    connection: Connection,
-    response: IncomingResponse,
-    onEnd: (isWhole: boolean) => void,
-): AsyncGenerator<Uint8Array> {
-    let isWhole = false;
-    try {
-        for await (const part of response.body) {
-            connection.watch?.addBodyBytes(part.length);
-            yield part;
-        }
-        checkEnd(connection, response);
-        isWhole = true;
-    }
-    finally {
-        onEnd(isWhole);
-    }
-}
-
-interface ReadableResponse extends IncomingResponse {
-    readonly body: Readable;
-}
-
 async function send(connection: Connection, request: OutgoingRequest, { interceptor }: SendWatch): Promise<ReadableResponse> {
     let informationalCount = 0;
     connection.onSurplus = request.onSurplus;
--- a/test/streamPools.test.ts
+++ b/test/streamPools.test.ts
@@ -1,7 +1,7 @@
 /** A stream of a route that leads to several pools, or has led to another one, goes on only in the pool that began it. */
 import { test } from "tap";
+import { decideOrigin } from "../src/entry/direct/originDecision.js";
 import { createRoutedPools } from "../src/entry/direct/routedPools.js";
-import { decideOrigin } from "../src/entry/direct/streamOrigins.js";
 import type { HttpRouteObject } from "../src/kernel/objects.js";
 import { createRouteHistory } from "../src/kernel/routeHistory.js";
 import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -1,7 +1,7 @@
 /** A stream goes on only at servers of the software version that began it. */
 import { test } from "tap";
 import { createStreamOriginTable } from "../src/control/streamOrigins.js";
-import { decideOrigin } from "../src/entry/direct/streamOrigins.js";
+import { decideOrigin } from "../src/entry/direct/originDecision.js";
 import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
 import { createRouteHistory } from "../src/kernel/routeHistory.js";
 import { sleep } from "../src/kernel/tasks.js";
