Fault soak: proxies between the callers and the entries

They are slow, silent to the entry, silent to the callers, or reset now, in series with the other faults.

--- a/test/soakCaller.ts
+++ b/test/soakCaller.ts
@@ -1,6 +1,7 @@
 /** A caller of the fault soak. It keeps connections until they are closed, leaves early at times, and tells the ledger what it was told. */
 import * as http from "node:http";
 import type { Ledger } from "./soakLedger.js";
+import { proxiedPortOffset } from "./soakProxy.js";
 import { mayRepeat, routeShapes } from "./soakTypes.js";
 import type { Fleet, RouteKind, RouteShape, SentAttempt, Told } from "./soakTypes.js";
 
@@ -105,7 +106,7 @@
         let answer: Answer = { status: undefined, isSealed: false, isComplete: false, body: "" };
         const request = http.request({
             host: fleet.entryIps[entry],
-            port: fleet.ports.front,
+            port: fleet.ports.front + proxiedPortOffset,
             method: routeShapes[kind].type === "idempotent" ? "GET" : "POST",
             path: `/${kind}/a`,
             headers: createHeaders(attempt),
--- a/test/soakFaults.ts
+++ b/test/soakFaults.ts
@@ -1,7 +1,7 @@
 /** The faults of a soak, which come in series and overlap: what is disturbed, when, and for how long follows from the seed. */
 import type { Ledger } from "./soakLedger.js";
 import { soundLink } from "./soakProxy.js";
-import type { LinkFault } from "./soakProxy.js";
+import type { LinkFault, Proxy } from "./soakProxy.js";
 import type { SoakServer } from "./soakServer.js";
 import type { Fleet } from "./soakTypes.js";
 
@@ -11,6 +11,8 @@
     readonly ledger: Ledger;
     readonly servers: readonly SoakServer[];
     readonly entryCount: number;
+    /** Proxies between the callers and each entry. */
+    readonly entryProxies: readonly Proxy[];
     /** Puts the next configuration in force. */
     readonly changeConfiguration: () => Promise<void>;
     readonly record: (line: string) => void;
@@ -29,6 +31,10 @@
     | "silenceToFleet"
     | "resetLink"
     | "refuseLink"
+    | "delayCallers"
+    | "silenceCallers"
+    | "silenceAnswers"
+    | "resetCallers"
     | "restartServer"
     | "renameServer"
     | "renameServerLate"
@@ -72,6 +78,10 @@
     silenceToFleet: 1,
     resetLink: 2,
     refuseLink: 1,
+    delayCallers: 1,
+    silenceCallers: 1,
+    silenceAnswers: 1,
+    resetCallers: 1,
     restartServer: 1,
     renameServer: 1,
     renameServerLate: 1,
@@ -97,15 +107,23 @@
         await endProcess(targets, `core-${index + 1}`, "SIGKILL", fault.forMs, () => targets.fleet.startControl(index, false));
     },
     delayLink: (targets, fault) => harmLink(targets, fault, { ...soundLink, delayMs: fault.forMs / 10 }),
-    silenceLink: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToFleet: true, isSilentToServer: true }),
-    silenceToServer: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToServer: true }),
-    silenceToFleet: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToFleet: true }),
+    silenceLink: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToClient: true, isSilentToUpstream: true }),
+    silenceToServer: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToUpstream: true }),
+    silenceToFleet: (targets, fault) => harmLink(targets, fault, { ...soundLink, isSilentToClient: true }),
     async resetLink(targets, fault) {
         const server = chooseServer(targets, fault);
         targets.ledger.disturb(server.id, Date.now(), Date.now());
         server.proxy.reset();
     },
     refuseLink: (targets, fault) => harmLink(targets, fault, { ...soundLink, isRefusing: true }),
+    delayCallers: (targets, fault) => harmEntryLink(targets, fault, { ...soundLink, delayMs: fault.forMs / 10 }),
+    silenceCallers: (targets, fault) => harmEntryLink(targets, fault, { ...soundLink, isSilentToUpstream: true }),
+    silenceAnswers: (targets, fault) => harmEntryLink(targets, fault, { ...soundLink, isSilentToClient: true }),
+    async resetCallers(targets, fault) {
+        const index = chooseIndex(fault, targets.entryCount);
+        targets.ledger.disturb(`edge-${index + 1}`, Date.now(), Date.now());
+        targets.entryProxies[index]!.reset();
+    },
     async restartServer(targets, fault) {
         const server = chooseServer(targets, fault);
         server.restart(server.id, server.softwareVersion);
@@ -218,11 +236,21 @@
     return harmServer(targets, chooseServer(targets, fault), linkFault, fault.forMs);
 }
 
-async function harmServer({ ledger }: FaultTargets, server: SoakServer, linkFault: LinkFault, forMs: number): Promise<void> {
-    ledger.disturb(server.id, Date.now(), Date.now() + forMs);
-    server.proxy.setFault(linkFault);
+function harmServer({ ledger }: FaultTargets, { id, proxy }: SoakServer, linkFault: LinkFault, forMs: number): Promise<void> {
+    ledger.disturb(id, Date.now(), Date.now() + forMs);
+    return setFaultFor(proxy, linkFault, forMs);
+}
+
+function harmEntryLink({ ledger, entryProxies, entryCount }: FaultTargets, fault: Fault, linkFault: LinkFault): Promise<void> {
+    const index = chooseIndex(fault, entryCount);
+    ledger.disturb(`edge-${index + 1}`, Date.now(), Date.now() + fault.forMs);
+    return setFaultFor(entryProxies[index]!, linkFault, fault.forMs);
+}
+
+async function setFaultFor(proxy: Proxy, linkFault: LinkFault, forMs: number): Promise<void> {
+    proxy.setFault(linkFault);
     await wait(forMs);
-    server.proxy.setFault(soundLink);
+    proxy.setFault(soundLink);
 }
 
 function wait(delayMs: number): Promise<void> {
--- a/test/soakProxy.ts
+++ b/test/soakProxy.ts
@@ -1,16 +1,16 @@
-/** A TCP proxy on loopback that delays, holds back or resets what passes between the fleet and one server. */
+/** A TCP proxy on loopback that delays, holds back or resets what passes between its clients and one listener. */
 import * as net from "node:net";
 
 /** What is wrong with a link. What is held back arrives when the fault is over, as after a partition. */
 export interface LinkFault {
-    readonly isSilentToServer: boolean;
-    readonly isSilentToFleet: boolean;
+    readonly isSilentToUpstream: boolean;
+    readonly isSilentToClient: boolean;
     readonly delayMs: number;
     /** New connections are reset as soon as they are made. */
     readonly isRefusing: boolean;
 }
 
-/** A proxy in front of one server. */
+/** A proxy in front of one listener, its upstream. */
 export interface Proxy {
     setFault(fault: LinkFault): void;
     /** Resets all connections. */
@@ -18,7 +18,10 @@
     close(): void;
 }
 
-export const soundLink: LinkFault = { isSilentToServer: false, isSilentToFleet: false, delayMs: 0, isRefusing: false };
+export const soundLink: LinkFault = { isSilentToUpstream: false, isSilentToClient: false, delayMs: 0, isRefusing: false };
+
+/** Distance between the port of a proxy and that of its upstream, on the same host. */
+export const proxiedPortOffset = 10;
 
 const pollMs = 5;
 
@@ -37,8 +40,8 @@
             sockets.add(socket);
             socket.once("close", () => sockets.delete(socket));
         }
-        forward(client, upstream, () => fault.isSilentToServer);
-        forward(upstream, client, () => fault.isSilentToFleet);
+        forward(client, upstream, () => fault.isSilentToUpstream);
+        forward(upstream, client, () => fault.isSilentToClient);
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
--- a/test/soakRun.ts
+++ b/test/soakRun.ts
@@ -6,6 +6,8 @@
 import { runFaults } from "./soakFaults.js";
 import { createLedger } from "./soakLedger.js";
 import type { Ledger, Violation } from "./soakLedger.js";
+import { proxiedPortOffset, startProxy } from "./soakProxy.js";
+import type { Proxy } from "./soakProxy.js";
 import { startSoakServer } from "./soakServer.js";
 import type { SoakServer } from "./soakServer.js";
 import { routeShapes } from "./soakTypes.js";
@@ -45,6 +47,7 @@
     const record = (line: string) => void events.push(`${Date.now()} ${line}`);
     const fleet = await library.startFleet({ entries: options.entryCount, record });
     const servers: SoakServer[] = [];
+    const entryProxies: Proxy[] = [];
     const stalls = watchStalls();
     const createPart = (part: number) => createRandom(options.seed * seedStride + part);
     try {
@@ -52,6 +55,10 @@
             const random = createPart(100 + index);
             servers.push(await startSoakServer({ fleet, library, ledger, random, index, id: `i-${service}-${index}`, service }));
         }
+        for (const host of fleet.entryIps.slice(0, options.entryCount)) {
+            const targetPort = fleet.ports.front;
+            entryProxies.push(await startProxy({ host, port: targetPort + proxiedPortOffset, targetPort }));
+        }
         const operator = library.createOperator(fleet, record);
         let version = 0;
         const changeConfiguration = async () => {
@@ -61,7 +68,7 @@
         };
         await changeConfiguration();
         await waitUntilReady(fleet, library, options.entryCount);
-        const targets = { fleet, ledger, servers, entryCount: options.entryCount, changeConfiguration, record };
+        const targets = { fleet, ledger, servers, entryCount: options.entryCount, entryProxies, changeConfiguration, record };
         const untilMs = Date.now() + options.durationMs;
         const callers = Array.from({ length: options.callerCount }, (_, index) =>
             runCaller({
@@ -79,6 +86,7 @@
         return { violations, counts: ledger.count(), maxStallMs: stalls.stop() };
     }
     finally {
+        for (const proxy of entryProxies) proxy.close();
         await fleet.stop();
         for (const server of servers) await server.stop();
     }
--- a/test/soakServer.ts
+++ b/test/soakServer.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type { Socket } from "node:net";
 import type { Ledger } from "./soakLedger.js";
-import { resetSocket, startProxy } from "./soakProxy.js";
+import { proxiedPortOffset, resetSocket, startProxy } from "./soakProxy.js";
 import type { Proxy } from "./soakProxy.js";
 import { routeShapes } from "./soakTypes.js";
 import type { Fleet, FleetLibrary, RouteKind, RouteShape, Run } from "./soakTypes.js";
@@ -119,8 +119,6 @@
 /** Share of the requests for another server whose refusal is written twice. */
 const misdirectedTwiceShare = 0.5;
 const slots = 64;
-/** Distance of the port on which a server listens from the one that it announces. */
-const portOffset = 10;
 
 /** Starts a server behind a proxy. */
 export async function startSoakServer(options: SoakServerOptions): Promise<SoakServer> {
@@ -157,9 +155,9 @@
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen(port + portOffset, host, resolve);
+        server.listen(port + proxiedPortOffset, host, resolve);
     });
-    const proxy = await startProxy({ host, port, targetPort: port + portOffset });
+    const proxy = await startProxy({ host, port, targetPort: port + proxiedPortOffset });
     const timer = setInterval(() => void announce(), heartbeatMs);
     await announce();
     return {
