--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -280,6 +280,11 @@
     const record = createRecord(folder);
     let exitCode = 2;
     let fleet;
+    process.on("unhandledRejection", error => {
+        record.write(`the case could not run: ${error?.stack ?? error}`);
+        record.save();
+        process.exit(2);
+    });
     const watchdog = setTimeout(() => {
         record.write("the case took too long");
         record.save();
--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -16,6 +16,7 @@
     let born = 0;
     let running = 0;
     let lastControl = 0;
+    let isUp = false;
     const sockets = new Set();
     const server = {
         id,
@@ -33,6 +34,8 @@
             return running;
         },
         async start() {
+            if (isUp) return;
+            isUp = true;
             born = getWallMs();
             sequence = 0;
             server.state = "ready";
@@ -52,6 +55,8 @@
         },
         /** Ends at once, as a crash does: connections are reset. */
         crash() {
+            if (!isUp) return;
+            isUp = false;
             record.write(`server ${id} crashes`);
             beating++;
             listener.close();
@@ -59,6 +64,7 @@
             running = 0;
         },
         end() {
+            isUp = false;
             beating++;
             listener?.close();
             for (const socket of sockets) socket.destroy();
