--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -65,7 +65,7 @@
 }
 
 /** Sends one HTTP request on a connection of its own, unless an agent is given. Resolves also if it fails. */
-export function call({ address, method = "GET", path = "/", headers = {}, body, timeoutMs = 5000, agent = false, onData }) {
+export function call({ address, method = "GET", path = "/", headers = {}, body, timeoutMs = 5000, agent = false, onData, signal }) {
     const [host, port] = address.split(":");
     return new Promise(resolve => {
         const sentAt = Date.now();
@@ -93,6 +93,10 @@
             finish({ isWhole: false, error: "timeout" });
             request.destroy();
         }, timeoutMs);
+        signal?.addEventListener("abort", () => {
+            finish({ isWhole: false, error: "broken" });
+            request.destroy();
+        });
         request.on("error", error => finish({ isWhole: false, error: error.code ?? error.message }));
         request.end(body);
     });
--- a/review/lib-2/servers.mjs
+++ b/review/lib-2/servers.mjs
@@ -169,7 +169,7 @@
 }
 
 /** Sends one client attempt to an entry. */
-export async function send({ edge, path = "/lookup/a", method = "GET", key = "key-1", host = "desk.example", deadlineMs = 1500, headers = {}, body, agent }) {
+export async function send({ edge, path = "/lookup/a", method = "GET", key = "key-1", host = "desk.example", deadlineMs = 1500, headers = {}, body, agent, onData, signal }) {
     const requestId = nextAttemptId();
     const answer = await call({
         address: edge.front,
@@ -184,6 +184,8 @@
         },
         body,
         agent,
+        onData,
+        signal,
         timeoutMs: deadlineMs + 300,
     });
     return { ...answer, requestId, edge };
