Give turns with very many small parts at most half of the time

What callers saw: after 60 clients that sent chunks of one byte had left, the entry said 503 at /readyz for 55 to 60 s alone and for more than 60 s beside load, so the platform sent it no new connections.

Cause: a connection with very small parts was read in every second turn of the event loop, and the turn between took no time when there was no other work. So the pacer used the whole processor until all was parsed that the kernel held of these connections, also of those whose clients had left, and the process counted as saturated.

Change: after a turn that reached its number of parts, the next connection that waits is read only after a pause as long as that turn. The pacer has a clock and timers of its host for it. Ordinary connections are read during the pause.

A single body in chunks of one byte takes up to twice as long as before.

--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -8,7 +8,7 @@
 import { createConnector, leavePollPhase } from "./connector.js";
 import { fleetSecretHeader } from "./fleetSecret.js";
 import { createHeldBytes } from "./heldBytes.js";
-import type { Clock, Disk, Host, IncomingResponse, Logger, Network } from "./host.js";
+import type { Clock, Disk, Host, IncomingResponse, Logger, Network, Timers } from "./host.js";
 import { serve } from "./httpServer.js";
 import { defaultAllowance, getProcessLimits } from "./processLimits.js";
 import type { ProcessAllowance, ProcessLimits } from "./processLimits.js";
@@ -37,18 +37,20 @@
 /** The system clock. Its monotonic time counts from the start of the process. */
 export const nodeClock: Clock = { nowMs: () => performance.now(), wallMs: () => Date.now() };
 
+const nodeTimers: Timers = {
+    after(delayMs, callback) {
+        const timer = setTimeout(callback, delayMs);
+        return () => clearTimeout(timer);
+    },
+};
+
 /** Creates the production host. */
 export function createNodeHost(options: NodeHostOptions): Host {
     const limits = getProcessLimits(options.allowance ?? defaultAllowance);
     return {
         limits,
         clock: nodeClock,
-        timers: {
-            after(delayMs, callback) {
-                const timer = setTimeout(callback, delayMs);
-                return () => clearTimeout(timer);
-            },
-        },
+        timers: nodeTimers,
         processor: { getBusyMs: () => performance.eventLoopUtilization().active },
         random: {
             nextFloat: () => randomInt(randomRange) / randomRange,
@@ -83,7 +85,7 @@
         log: serverLog,
         counts,
         limits,
-        pacer: createReadPacer(),
+        pacer: createReadPacer({ clock: nodeClock, timers: nodeTimers, scheduleTurnEnd: callback => void setImmediate(callback) }),
         heldRequests: createHeldBytes(limits.maxRequestBytes, serverLog),
         heldCalls: createHeldBytes(limits.maxCallBytes, serverLog),
     };
--- a/src/kernel/readPacer.ts
+++ b/src/kernel/readPacer.ts
@@ -2,9 +2,11 @@
  * Shares the turns of the event loop among the connections of a process. Node.js parses all that it has read of a connection before it reads
  * the next one. What consists of very many small parts, such as chunks of one byte, takes long to parse, and requests that are sent ahead take
  * much memory until they are refused. So a turn ends its reading once it has parsed a number of parts, and connections that had many of
- * them are read one at a time, each in a turn of its own, so that all others are read in between.
+ * them are read one at a time, each in a turn of its own, so that all others are read in between. Turns that were full take at most half of the
+ * time, so that the process is not saturated by them.
  */
 import type { Socket } from "node:net";
+import type { Clock, Timers } from "./host.js";
 
 /** Paces the connections of a process. */
 export interface ReadPacer {
@@ -31,16 +33,23 @@
     isPaced: boolean;
 }
 
-/** Runs a callback after the events of the current turn of the event loop. */
-export type ScheduleTurnEnd = (callback: () => void) => void;
+/** What a pacer needs of its process. */
+export interface ReadPacerHost {
+    readonly clock: Pick<Clock, "nowMs">;
+    readonly timers: Timers;
+    /** Runs a callback after the events of the current turn of the event loop. */
+    scheduleTurnEnd(callback: () => void): void;
+}
 
 /** Parts of all connections after which a turn reads no more. A turn without misbehaving clients has a part or two for each connection. */
 export const maxPartsPerTurn = 256;
 /** Parts of one connection in a turn that was full after which it waits for a turn of its own. */
 const manyParts = 32;
+/** Largest share of the time for turns that are full. Far enough below the utilization of a saturated process for ordinary work. */
+export const maxFullTurnShare = 0.5;
 
 /** Creates a pacer without connections. */
-export function createReadPacer(scheduleTurnEnd: ScheduleTurnEnd = callback => void setImmediate(callback)): ReadPacer {
+export function createReadPacer({ clock, timers, scheduleTurnEnd }: ReadPacerHost): ReadPacer {
     const connections = new Set<Connection>();
     /** Connections with parts in this turn. */
     const active = new Set<Connection>();
@@ -48,6 +57,11 @@
     const waiting = new Set<Connection>();
     let partsInTurn = 0;
     let isScheduled = false;
+    let isTimerSet = false;
+    /** Time of the first part in this turn. */
+    let turnBeganAtMs = 0;
+    /** Time from which the next waiting connection may be read. */
+    let nextReadAtMs = -Infinity;
     return {
         add(socket) {
             const connection: Connection = { socket, parts: 0, isBlocked: false, isPaced: false };
@@ -76,6 +90,7 @@
     function countPart(connection: Connection): void {
         connection.parts++;
         active.add(connection);
+        if (partsInTurn === 0) turnBeganAtMs = clock.nowMs();
         partsInTurn++;
         scheduleEnd();
         if (partsInTurn === maxPartsPerTurn) { for (const other of connections) setPaced(other, true); }
@@ -90,6 +105,7 @@
     }
 
     function endTurn(): void {
+        const nowMs = clock.nowMs();
         isScheduled = false;
         const isFull = partsInTurn >= maxPartsPerTurn;
         partsInTurn = 0;
@@ -98,22 +114,34 @@
             connection.parts = 0;
         }
         active.clear();
-        if (isFull) resumeOthers();
-        else resumeFirstWaiting();
-        if (waiting.size > 0) scheduleEnd();
+        if (isFull) endFullTurn(nowMs);
+        else readNextWaiting(nowMs);
     }
 
-    function resumeOthers(): void {
+    function endFullTurn(nowMs: number): void {
+        nextReadAtMs = nowMs + getPauseMs(nowMs - turnBeganAtMs);
         for (const connection of connections) {
             if (connection.isPaced && !waiting.has(connection)) setPaced(connection, false);
         }
+        if (waiting.size > 0) scheduleEnd();
     }
 
-    function resumeFirstWaiting(): void {
+    /** Must not be called between a turn that was full and the next one, in which all others are read. */
+    function readNextWaiting(nowMs: number): void {
         const [first] = waiting;
-        if (first === undefined) return;
+        if (first === undefined || isTimerSet) return;
+        if (nowMs < nextReadAtMs) return setTimer(nextReadAtMs - nowMs);
         waiting.delete(first);
         setPaced(first, false);
+        if (waiting.size > 0) scheduleEnd();
+    }
+
+    function setTimer(delayMs: number): void {
+        isTimerSet = true;
+        timers.after(delayMs, () => {
+            isTimerSet = false;
+            readNextWaiting(clock.nowMs());
+        });
     }
 
     function setPaced(connection: Connection, isPaced: boolean): void {
@@ -122,6 +150,11 @@
     }
 }
 
+/** Returns the time after a turn that was full in which there is no other one. */
+function getPauseMs(turnMs: number): number {
+    return turnMs * (1 - maxFullTurnShare) / maxFullTurnShare;
+}
+
 function applyHold({ socket, isPaced, isBlocked }: Connection): void {
     if (socket.destroyed) return;
     if (isPaced || isBlocked) socket.pause();
--- a/test/readPacer.test.ts
+++ b/test/readPacer.test.ts
@@ -20,21 +20,39 @@
     }
 }
 
+const partMs = 0.004;
+
 /** Plays turns of an event loop that reads its sockets always in the same order. */
 function createLoop() {
-    const callbacks: (() => void)[] = [];
-    const pacer = createReadPacer(callback => void callbacks.push(callback));
+    const turnEnds: (() => void)[] = [];
+    const timers = new Set<{ readonly dueAtMs: number; readonly callback: () => void; }>();
+    let nowMs = 0;
+    const pacer = createReadPacer({
+        clock: { nowMs: () => nowMs },
+        timers: {
+            after(delayMs, callback) {
+                const timer = { dueAtMs: nowMs + delayMs, callback };
+                timers.add(timer);
+                return () => void timers.delete(timer);
+            },
+        },
+        scheduleTurnEnd: callback => void turnEnds.push(callback),
+    });
     const connections: { readonly socket: FakeSocket; readonly read: () => number; readonly unreadTurns: number[]; }[] = [];
     return {
         connections,
         pacer,
+        getNowMs: () => nowMs,
         /** Adds a connection that has this number of parts to read in each turn. */
         add(partsPerTurn: number) {
             const socket = new FakeSocket();
             const paced = pacer.add(socket as unknown as Socket);
             const read = () => {
                 if (!socket.isReading) return 0;
-                for (let part = 0; part < partsPerTurn; part++) paced.countPart();
+                for (let part = 0; part < partsPerTurn; part++) {
+                    paced.countPart();
+                    nowMs += partMs;
+                }
                 return partsPerTurn;
             };
             const connection = { socket, paced, read, unreadTurns: [0] };
@@ -43,6 +61,11 @@
         },
         /** Returns the parts that were read in the turn. */
         playTurn(): number {
+            for (const timer of timers) {
+                if (timer.dueAtMs > nowMs) continue;
+                timers.delete(timer);
+                timer.callback();
+            }
             let parts = 0;
             for (const { read, socket, unreadTurns } of connections) {
                 const isRead = socket.isReading;
@@ -50,10 +73,17 @@
                 if (isRead) unreadTurns.push(0);
                 else unreadTurns.push(unreadTurns.at(-1)! + 1);
             }
-            for (const callback of callbacks.splice(0)) callback();
+            for (const callback of turnEnds.splice(0)) callback();
+            if (parts < maxPartsPerTurn && turnEnds.length === 0) sleep();
             return parts;
         },
     };
+
+    /** An event loop without work sleeps until the next timer. */
+    function sleep(): void {
+        const [next] = [...timers].sort((left, right) => left.dueAtMs - right.dueAtMs);
+        if (next !== undefined) nowMs = Math.max(nowMs, next.dueAtMs);
+    }
 }
 
 const heavyParts = 10_000;
@@ -119,3 +149,21 @@
     t.ok(socket.isReading);
     t.end();
 });
+
+test("turns that are full take at most half of the time, however many connections wait for them", t => {
+    for (const heavyCount of [1, 2, 60]) {
+        const loop = createLoop();
+        for (let number = 0; number < heavyCount; number++) loop.add(heavyParts);
+        // Until each has shown what it sends.
+        for (let turn = 0; turn < 2 * heavyCount; turn++) loop.playTurn();
+        const fromMs = loop.getNowMs();
+        let parts = 0;
+        for (let turn = 0; turn < 1_000; turn++) parts += loop.playTurn();
+        const readMs = parts * partMs;
+        const elapsedMs = loop.getNowMs() - fromMs;
+        // The last turn may have been a full one.
+        t.ok(parts > 100 * heavyParts, `${parts} parts`);
+        t.ok(readMs <= elapsedMs / 2 + heavyParts * partMs, `${Math.round(readMs)} ms of ${Math.round(elapsedMs)} ms`);
+    }
+    t.end();
+});
