Refuse a body by the limit of the configuration before it is read

What callers saw: a request whose head announced a body over max_body_bytes got no answer until the body was whole, if the body was within the limit of the process (10 to 48 MiB). The body was read and held for nothing.

Cause: the server knows only the limit of the process. The limit of the configuration was checked by the gateway, which gets requests with whole bodies.

Change: a server may have a second limit that changes, and asks for it when it has read a head. The entry gives it the limit of its configuration. The gateway checks whole bodies as before, since the limit may have become lower meanwhile.

The new test of connectionLimits.test.ts uses the new option, so it does not compile on the code before.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -83,6 +83,8 @@
 /** A running gateway. */
 export interface Gateway {
     readonly handle: HttpHandler;
+    /** Largest body by the configuration. Infinite while it states none. */
+    getMaxBodyBytes(): number;
     /** RPC procedures that other entries call. */
     readonly router: ReturnType<typeof createGatewayRouter>;
     isReady(): boolean;
@@ -214,6 +216,7 @@
 
     return {
         handle,
+        getMaxBodyBytes: () => limits?.maxBodyBytes ?? Infinity,
         router: createGatewayRouter({ shareLoad: loadExchange.receive }),
         // A saturated gateway goes on to serve what arrives, but new connections should go to others.
         isReady: () => isSynced() && !isStopping && !capacity.isSaturated(),
@@ -340,6 +343,7 @@
 
     function createCall(head: RequestHead, request: HttpRequest, arrivedAtMs: number): DirectCall {
         if (!configuration.isReady()) refuse("notReady", undefined, retryAfterMs.notReady);
+        // The limit may have become lower since the server began to read the body.
         if (limits !== undefined && request.body.length > limits.maxBodyBytes) refuse("bodyTooLarge");
         const route = routes.find(head.host, request.path);
         if (route === undefined) refuseUnknown("unknownPath");
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -87,6 +87,8 @@
     /** Served under `/rpc` to callers that present the fleet secret. */
     readonly router?: AnyRouter;
     readonly maxBodyBytes: number;
+    /** A lower limit of a body that may change, such as that of the configuration. Asked for each request. */
+    readonly getMaxBodyBytes?: () => number;
     /** Certificate and key files. Plain HTTP is used without them. */
     readonly tls?: TlsFiles;
     /**
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -55,7 +55,7 @@
     const { kind = "callers" } = options;
     const held = kind === "fleet" ? context.heldCalls : context.heldRequests;
     const maxBodyBytes = Math.min(options.maxBodyBytes, kind === "fleet" ? limits.maxCallBytes : limits.maxRequestBytes);
-    const reading = { maxBodyBytes, held };
+    const reading: BodyLimits = { held, getMaxBodyBytes: () => Math.min(maxBodyBytes, options.getMaxBodyBytes?.() ?? Infinity) };
     const rpc = options.router === undefined ? undefined : createHTTPHandler({
         router: options.router,
         basePath: rpcBasePath,
@@ -153,7 +153,7 @@
  * the body itself, so its length has to be known beforehand. Processes of the fleet state it.
  */
 function takeCall(
-    { maxBodyBytes, held }: BodyLimits,
+    { getMaxBodyBytes, held }: BodyLimits,
     { fleetSecret }: ServerContext,
     connection: ServerConnection,
     incoming: http.IncomingMessage,
@@ -164,7 +164,7 @@
         return false;
     }
     const statedBytes = getStatedBytes(incoming);
-    const isTooLarge = (statedBytes ?? 0) > maxBodyBytes;
+    const isTooLarge = (statedBytes ?? 0) > getMaxBodyBytes();
     if (isTooLarge || statedBytes === undefined && hasBody(incoming)) {
         refuseBody(createResponse(outgoing), isTooLarge ? "bodyTooLarge" : "lengthRequired");
         return false;
@@ -216,12 +216,12 @@
 /** Where the bodies of a server count, and how large one may be. */
 interface BodyLimits {
     readonly held: HeldBytes;
-    readonly maxBodyBytes: number;
+    getMaxBodyBytes(): number;
 }
 
 /** Begins to read the body of a request. */
 function receive(
-    { maxBodyBytes, held }: BodyLimits,
+    { getMaxBodyBytes, held }: BodyLimits,
     connection: ServerConnection,
     incoming: http.IncomingMessage,
     outgoing: http.ServerResponse,
@@ -233,7 +233,7 @@
         refuseBody(response, "overloaded");
     });
     outgoing.once("close", message.release);
-    const body = readBody(incoming, { maxBytes: maxBodyBytes, held: message, onPart: connection.countPart });
+    const body = readBody(incoming, { maxBytes: getMaxBodyBytes(), held: message, onPart: connection.countPart });
     // The handler of a request that waits for an earlier one sees the error later.
     body.whole.catch(() => undefined);
     return { incoming, outgoing, response, held: message, body: body.whole };
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -393,6 +393,7 @@
         kind: "callers",
         handler: gateway.handle,
         maxBodyBytes,
+        getMaxBodyBytes: gateway.getMaxBodyBytes,
         maxAcceptWaitMs,
     });
     const listeners = [
--- a/test/connectionLimits.test.ts
+++ b/test/connectionLimits.test.ts
@@ -164,6 +164,26 @@
     await server.listener.close();
 });
 
+test("a body over the limit of the configuration is refused before it is whole, whether its length is announced or not", async t => {
+    let handled = 0;
+    let maxBytes = 1_000;
+    const server = await startServer(() => Promise.resolve(void handled++), undefined, { getMaxBodyBytes: () => maxBytes });
+    const sendings = ["Content-Length: 1001\r\n\r\n", `Transfer-Encoding: chunked\r\n\r\n3e9\r\n${"b".repeat(1_001)}\r\n`];
+    for (const sending of sendings) {
+        const client = await connect(server);
+        client.socket.write(`POST /a HTTP/1.1\r\nHost: a\r\n${sending}`);
+        await client.closed;
+        t.match(client.getText(), /^HTTP\/1.1 413 [^]*lovage-verdict: not-run/i);
+    }
+    t.equal(handled, 0);
+    maxBytes = 2_000;
+    const client = await connect(server);
+    client.socket.write(`POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n${"b".repeat(1_001)}`);
+    await waitFor(() => handled === 1);
+    client.socket.destroy();
+    await server.listener.close();
+});
+
 /** Longer than a connection has for its next request. */
 const longIdleMs = 1_200;
 /** Descriptors for a few connections of callers. */
