Tests with crowds on the connections between processes, known red

Small calls sent ahead with their answers unread, and messages that are 8 MiB once they are inflated, on 40 WebSocket connections with the empty secret, which the fleets of the platform have. The memory is that of the smallest VM of an entry, 160 MB.

--- /dev/null
+++ b/test/crowd/calls.test.ts
@@ -0,0 +1,55 @@
+/** Calls on the WebSocket connections between processes, by clients that send many of them, or messages that are small only while compressed. */
+import { constants, deflateRawSync } from "node:zlib";
+import { test } from "tap";
+import { checkCrowd } from "./crowdCheck.js";
+import type { TargetName } from "./crowdFleet.js";
+
+const connections = 40;
+/** Memory of the smallest VM of an entry. */
+const limits = { memoryMb: 160 };
+const partBytes = 256 * 1024;
+const parts = 16;
+/** Below the limit of a message in a process of the smallest VM. */
+const inflatedBytes = 8 * 1024 * 1024;
+const inflatedMessages = 4;
+/** A fleet without a secret takes the empty one. */
+const upgradeHead = "GET /rpc HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+    + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Extensions: permessage-deflate\r\nlovage-fleet-secret:\r\n\r\n";
+const wholeText = 0x81;
+const wholeCompressedText = 0xc1;
+/** `deflateRawSync` ends a block with these bytes, which are not sent. */
+const blockEndBytes = 4;
+
+/** Creates a masked frame with a whole message. The mask is zero. */
+function createFrame(kind: number, content: Buffer): Buffer {
+    const head = Buffer.alloc(14);
+    head[0] = kind;
+    head[1] = 0xff;
+    head.writeBigUInt64BE(BigInt(content.length), 2);
+    return Buffer.concat([head, content]);
+}
+
+function createCompressedFrame(content: Buffer): Buffer {
+    const compressed = deflateRawSync(content, { finishFlush: constants.Z_SYNC_FLUSH });
+    return createFrame(wholeCompressedText, compressed.subarray(0, -blockEndBytes));
+}
+
+/** Creates a call with an input of this size. No process has its procedure. */
+function createCall(inputBytes: number): Buffer {
+    return Buffer.from(JSON.stringify({ id: 1, method: "query", params: { path: "none", input: "i".repeat(inputBytes) } }));
+}
+
+const fleetTargets: readonly TargetName[] = ["entryFleet", "controlFleet", "agentFleet"];
+
+for (const to of fleetTargets) {
+    test(`many small calls on each connection, their answers unread, to ${to}`, t => {
+        const frame = createFrame(wholeText, createCall(0));
+        const part = Buffer.concat(Array.from({ length: Math.ceil(partBytes / frame.length) }, () => frame));
+        return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts }) });
+    });
+
+    test(`calls that are large once they are inflated, to ${to}`, t => {
+        const part = createCompressedFrame(createCall(inflatedBytes));
+        return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts: inflatedMessages }) });
+    });
+}
