Count the calls of a WebSocket connection until they are answered

What others saw: clients that send many small calls on WebSocket connections and read no answers made an entry and control use 170 and 169 MB of 160. Ordinary requests waited: the tests took 34 and 50 s.

Cause: a connection counted the bytes of a message until it was whole, and unread answers only when further bytes came. A call that was being handled counted nothing, a message may hold any number of calls, and the pacer did not count messages, so all that had arrived on all connections was handled in one turn of the event loop.

Change: a call counts 4 KiB until it is answered, and unread answers are counted with each answer, in the room for calls. A message may hold one call, as our processes send it. Each message counts as a part in the pacer.

Test first: "a connection with too many unanswered calls is closed ..." and "a message with many calls is refused" of unansweredCalls.test.ts wait until their timeout on the code before; the other two passed there and guard what is allowed.

--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -98,7 +98,14 @@
     const server = await createServer(options, listener);
     const upgrades = options.router === undefined
         ? undefined
-        : acceptRpcUpgrades(server, { router: options.router, fleetSecret, maxPayloadBytes: maxBodyBytes, counts, held });
+        : acceptRpcUpgrades(server, {
+            router: options.router,
+            fleetSecret,
+            maxPayloadBytes: maxBodyBytes,
+            counts,
+            held,
+            onMessage: socket => connections.get(socket)?.countPart(),
+        });
     server.on("connection", connections.add);
     if (options.tls !== undefined) server.on("secureConnection", connections.secure);
     // The server does not listen itself. The event makes it check the timeouts of its connections.
--- a/src/kernel/rpcUpgrade.ts
+++ b/src/kernel/rpcUpgrade.ts
@@ -3,12 +3,15 @@
 import { getWSConnectionHandler } from "@trpc/server/adapters/ws";
 import type { Encoder } from "@trpc/server/adapters/ws";
 import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { WebSocket, WebSocketServer } from "ws";
 import { failureDomainHeader, getCallName } from "./callCounts.js";
 import type { CallCounts, CountedConnection } from "./callCounts.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
 import type { HeldBytes } from "./heldBytes.js";
+import { countUnansweredCalls } from "./unansweredCalls.js";
+import type { UnansweredCalls } from "./unansweredCalls.js";
 
 /** Path at which a server takes WebSocket connections. */
 export const socketPath = "/rpc";
@@ -43,8 +46,13 @@
     readonly counts: CallCounts;
     /** Counts what the connections hold. */
     readonly held: HeldBytes;
+    /** Called for each message. */
+    onMessage(socket: Socket): void;
 }
 
+/** Processes of the fleet send each call in a message of its own. */
+const maxCallsPerMessage = 1;
+
 /** Accepts WebSocket connections from callers that present the fleet secret. */
 export function acceptRpcUpgrades(
     server: Server,
@@ -57,13 +65,15 @@
         const counted = counts.open("server", () => request.socket);
         counted.setPeerDomain(request.headers[failureDomainHeader] as string | undefined);
         connection.once("close", counted.close);
-        countHeldBytes(options.held, connection, request);
+        const calls = countUnansweredCalls(options.held, connection, request);
+        connection.on("message", () => options.onMessage(request.socket));
         // Without `onError`, the adapter writes to the console. The caller gets the error as the answer.
         const handle = getWSConnectionHandler({
             wss: sockets,
             router,
             onError: () => undefined,
-            experimental_encoder: createCountingEncoder(counted),
+            experimental_encoder: createCountingEncoder(counted, calls),
+            maxBatchSize: maxCallsPerMessage,
         });
         handle(connection, request);
     });
@@ -92,22 +102,8 @@
     };
 }
 
-/** Counts what came since the last whole message, and answers that the peer does not read. */
-function countHeldBytes(held: HeldBytes, connection: WebSocket, request: IncomingMessage): void {
-    const message = held.open(request.socket.remoteAddress ?? "", () => connection.terminate());
-    let unfinishedBytes = 0;
-    request.socket.on("data", (part: Buffer) => {
-        unfinishedBytes += part.length;
-        message.setSize(unfinishedBytes + connection.bufferedAmount);
-    });
-    connection.on("message", () => {
-        unfinishedBytes = 0;
-    });
-    connection.once("close", message.release);
-}
-
 /** JSON in text frames, which the adapter uses without an encoder. */
-function createCountingEncoder(counted: CountedConnection): Encoder {
+function createCountingEncoder(counted: CountedConnection, calls: UnansweredCalls): Encoder {
     /** Names of the calls without an answer. */
     const names = new Map<unknown, string>();
     return {
@@ -116,11 +112,14 @@
             const { id } = answer as { readonly id: unknown; };
             counted.countAnswer(names.get(id) ?? "unknown", Buffer.byteLength(text));
             names.delete(id);
+            // The answer to a message that is not understood names no call.
+            if (id !== null) calls.end();
             return text;
         },
         decode(data) {
             if (typeof data !== "string") throw new Error("a call must be in a text frame");
             const call = JSON.parse(data) as CallMessage;
+            if (hasAnswer(call)) calls.begin();
             const name = getCallName(call.params?.path ?? "unknown", call.params?.input);
             names.set(call.id, name);
             counted.countCall(name, Buffer.byteLength(data));
@@ -132,9 +131,14 @@
 /** The part of a call's message that identifies it. The adapter checks the message. */
 interface CallMessage {
     readonly id?: unknown;
+    readonly method?: unknown;
     readonly params?: { readonly path?: string; readonly input?: unknown; };
 }
 
+function hasAnswer({ method }: CallMessage): boolean {
+    return method !== "subscription.stop";
+}
+
 /** Asks a peer to send no more calls on the connection. */
 const reconnectNotification = JSON.stringify({ method: "reconnect" });
 
--- /dev/null
+++ b/test/unansweredCalls.test.ts
@@ -0,0 +1,109 @@
+/** What calls without an answer hold is bounded, and costs other processes nothing. On real sockets. */
+import { once } from "node:events";
+import { test } from "tap";
+import { WebSocket } from "ws";
+import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
+import { createNodeHost } from "../src/kernel/hostNode.js";
+import { defaultAllowance } from "../src/kernel/processLimits.js";
+import { createRpcClients, rpc } from "../src/kernel/rpc.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
+
+const secret = "test-secret";
+/** More than the room for calls of a process with little memory. */
+const tooManyCalls = 4_000;
+const manyCalls = 500;
+
+/** Serves calls that are answered when the test releases them, with as many bytes as they ask for. */
+async function startServer() {
+    const waiting: (() => void)[] = [];
+    const router = rpc.router({
+        held: rpc.procedure.query(() => new Promise<string>(resolve => waiting.push(() => resolve("released")))),
+        sized: rpc.procedure.input(value => Number(value)).query(({ input }) => "a".repeat(input)),
+    });
+    const host = createNodeHost({
+        fleetSecret: secret,
+        createLogger: createSilentLogger,
+        allowance: { ...defaultAllowance, memoryMb: 160 },
+    });
+    const listener = await host.network.serve({
+        address: "127.0.0.1:0",
+        kind: "fleet",
+        handler: () => Promise.resolve(),
+        router,
+        maxBodyBytes: 1_000_000,
+    });
+    const client = createRpcClients<typeof router>(host.network).get(listener.address);
+    return { listener, waiting, client };
+}
+
+/** Opens a connection from another address than that of the ordinary clients. */
+async function connect(address: string) {
+    const socket = new WebSocket(`ws://${address}/rpc`, { localAddress: "127.0.0.9", headers: { [fleetSecretHeader]: secret } });
+    const answers: { readonly error?: { readonly message: string; }; }[] = [];
+    socket.on("error", () => undefined);
+    socket.on("message", data => answers.push(JSON.parse((data as Buffer).toString()) as (typeof answers)[number]));
+    await once(socket, "open");
+    return { socket, answers };
+}
+
+function createCall(path: string, input?: number): string {
+    return JSON.stringify({ id: 1, method: "query", params: { path, input } });
+}
+
+async function waitFor(check: () => boolean): Promise<void> {
+    while (!check()) await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+test("a connection with too many unanswered calls is closed, and the call of another process is answered", async t => {
+    const { listener, waiting, client } = await startServer();
+    const ordinary = client.held.query();
+    await waitFor(() => waiting.length === 1);
+    const { socket } = await connect(listener.address);
+    const closed = once(socket, "close");
+    for (let number = 0; number < tooManyCalls; number++) socket.send(createCall("held"));
+    await closed;
+    t.equal(listener.held.getEndedCount(), 1);
+    for (const release of waiting) release();
+    t.equal(await ordinary, "released");
+    await listener.close();
+});
+
+test("a connection whose answers are not read is closed, and another process is answered", async t => {
+    const { listener, client } = await startServer();
+    const { socket } = await connect(listener.address);
+    const closed = once(socket, "close");
+    socket.pause();
+    for (let number = 0; number < manyCalls; number++) socket.send(createCall("sized", 100_000));
+    await waitFor(() => listener.held.getEndedCount() === 1);
+    t.equal(await client.sized.query(3), "aaa");
+    socket.resume();
+    await closed;
+    await listener.close();
+});
+
+test("as many calls as a process may have without an answer are all answered", async t => {
+    const { listener, waiting } = await startServer();
+    const { socket, answers } = await connect(listener.address);
+    for (let number = 0; number < manyCalls; number++) socket.send(createCall("held"));
+    await waitFor(() => waiting.length === manyCalls);
+    for (const release of waiting) release();
+    await waitFor(() => answers.length === manyCalls);
+    t.equal(listener.held.getEndedCount(), 0);
+    for (let number = 0; number < tooManyCalls; number++) socket.send(createCall("sized", 1));
+    await waitFor(() => answers.length === manyCalls + tooManyCalls);
+    t.equal(listener.held.getEndedCount(), 0, "answered calls hold nothing");
+    socket.terminate();
+    await listener.close();
+});
+
+test("a message with many calls is refused", async t => {
+    const { listener, waiting } = await startServer();
+    const { socket, answers } = await connect(listener.address);
+    const calls = Array.from({ length: 100 }, () => createCall("held"));
+    socket.send(`[${calls.join()}]`);
+    await waitFor(() => answers.length > 0);
+    t.match(answers[0]!.error?.message, /batch/i);
+    t.equal(waiting.length, 0);
+    socket.terminate();
+    await listener.close();
+});
