Bound the messages that are inflated on WebSocket connections

What others saw: 40 clients that send compressed messages of 8 MiB made an entry use 274 MB of 160 and control 259. A few kilobytes each are enough for it.

Cause: only the compressed bytes were counted. A message might be as large as all calls together once it was inflated (10 MiB with 160 MB of memory), ten were inflated at once, and each takes twice its size until it is whole and three times while it is parsed.

Change: a message may have a quarter of the room for calls after it is inflated (2.5 MiB with 160 MB, 9.3 MiB with 256 MB), and four are inflated at once, as many as Node.js has threads for. A change of the configuration becomes part of a message between control VMs, so the administration takes half of that at most: 1.25 MiB with 160 MB, 4.6 MiB with the 256 MB of the smallest control VM in force.

The crowd of 8 MiB of calls.test.ts is kept under a new name, and there are two more sizes, 3 MiB and 2.25 MiB, the last below the new limit.

--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -54,7 +54,7 @@
     const { host, port } = parseAddress(options.address);
     const { kind = "callers" } = options;
     const held = kind === "fleet" ? context.heldCalls : context.heldRequests;
-    const maxBodyBytes = Math.min(options.maxBodyBytes, kind === "fleet" ? limits.maxCallBytes : limits.maxRequestBytes);
+    const maxBodyBytes = Math.min(options.maxBodyBytes, limits.maxBodyBytes[kind]);
     const reading: BodyLimits = { held, getMaxBodyBytes: () => Math.min(maxBodyBytes, options.getMaxBodyBytes?.() ?? Infinity) };
     const rpc = options.router === undefined ? undefined : createHTTPHandler({
         router: options.router,
@@ -101,7 +101,7 @@
         : acceptRpcUpgrades(server, {
             router: options.router,
             fleetSecret,
-            maxPayloadBytes: maxBodyBytes,
+            maxPayloadBytes: Math.min(options.maxBodyBytes, limits.maxSocketMessageBytes),
             counts,
             held,
             onMessage: socket => connections.get(socket)?.countPart(),
--- a/src/kernel/processLimits.ts
+++ b/src/kernel/processLimits.ts
@@ -16,8 +16,12 @@
     readonly maxRequestBytes: number;
     /** Bytes held for answers of backend servers until they are written. */
     readonly maxAnswerBytes: number;
-    /** Bytes held for calls of other processes. Also the largest size of one call. */
+    /** Bytes held for calls of other processes. */
     readonly maxCallBytes: number;
+    /** Largest message on a WebSocket connection between processes, in bytes after it is inflated. */
+    readonly maxSocketMessageBytes: number;
+    /** Largest body that servers of a kind take. */
+    readonly maxBodyBytes: Readonly<Record<ServerKind, number>>;
     /** Number of connections that servers of a kind accept. */
     readonly maxConnections: Readonly<Record<ServerKind, number>>;
 }
@@ -32,6 +36,10 @@
 /** Room for the largest answer, or two of the largest bodies, of a VM with little memory. */
 const minPartBytes = 10 * mib;
 const maxPartBytes = 48 * mib;
+/** Messages of several connections are inflated at once, and each takes several times its size until it is parsed. */
+const messageShare = 1 / 4;
+/** A change of the configuration becomes part of a message between control VMs. */
+const changeShare = messageShare / 2;
 /** Descriptors for files and for what the runtime opens itself. */
 const reservedDescriptors = 200;
 /** Shares of the other descriptors. What is left is for connections to backend servers and other processes. */
@@ -47,6 +55,8 @@
         maxRequestBytes: partBytes,
         maxAnswerBytes: partBytes,
         maxCallBytes: partBytes,
+        maxSocketMessageBytes: Math.floor(partBytes * messageShare),
+        maxBodyBytes: { callers: partBytes, administration: Math.floor(partBytes * changeShare), readiness: partBytes, fleet: partBytes },
         maxConnections: {
             callers: getConnections("callers"),
             administration: getConnections("administration"),
--- a/src/kernel/rpcUpgrade.ts
+++ b/src/kernel/rpcUpgrade.ts
@@ -25,6 +25,8 @@
     serverNoContextTakeover: true,
     clientNoContextTakeover: true,
     zlibDeflateOptions: { level: 1, memLevel: 7 },
+    // Threads of Node.js for such work. What is inflated beyond them only takes memory.
+    concurrencyLimit: 4,
 } as const;
 
 /** TCP probes find peers that disappeared without closing their connection. They cost this process nothing. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -150,6 +150,8 @@
         handler,
         router: localControl.router,
         maxBodyBytes: maxFleetBodyBytes,
+        // It may be the address of the administration as well.
+        getMaxBodyBytes: () => host.limits.maxBodyBytes.administration,
     });
     const listeners = [fleetListener];
     if (settings.administrationListen !== settings.listen) {
--- a/test/connectionLimits.test.ts
+++ b/test/connectionLimits.test.ts
@@ -266,3 +266,13 @@
     t.ok(2 * callers + readiness + fleet <= 4_100, "as many connections to backend servers as callers");
     t.end();
 });
+
+test("a change of the configuration fits into a message between control VMs, whatever the memory", t => {
+    for (const memoryMb of [1, 160, 256, 350, 4_096]) {
+        const { maxSocketMessageBytes, maxBodyBytes } = getProcessLimits({ ...defaultAllowance, memoryMb });
+        // What the message adds to it, with room for characters that are escaped.
+        t.ok(maxBodyBytes.administration * 1.5 <= maxSocketMessageBytes, `${memoryMb} MB`);
+        t.ok(maxBodyBytes.callers >= 8 * 1024 * 1024, "two bodies of callers");
+    }
+    t.end();
+});
--- a/test/crowd/calls.test.ts
+++ b/test/crowd/calls.test.ts
@@ -9,8 +9,8 @@
 const limits = { memoryMb: 160 };
 const partBytes = 256 * 1024;
 const parts = 16;
-/** Below the limit of a message in a process of the smallest VM. */
-const inflatedBytes = 8 * 1024 * 1024;
+/** Below and above the limit of a message in a process of the smallest VM. */
+const inflatedSizesBytes = [2.25 * 1024 * 1024, 3 * 1024 * 1024, 8 * 1024 * 1024];
 const inflatedMessages = 4;
 /** A fleet without a secret takes the empty one. */
 const upgradeHead = "GET /rpc HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
@@ -48,8 +48,10 @@
         return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts }) });
     });
 
-    test(`calls that are large once they are inflated, to ${to}`, t => {
-        const part = createCompressedFrame(createCall(inflatedBytes));
-        return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts: inflatedMessages }) });
-    });
+    for (const inflatedBytes of inflatedSizesBytes) {
+        test(`calls of ${inflatedBytes} bytes once they are inflated, to ${to}`, t => {
+            const part = createCompressedFrame(createCall(inflatedBytes));
+            return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts: inflatedMessages }) });
+        });
+    }
 }
