Count eight messages of a WebSocket connection as one part in the pacer

Cause: a process that stood still for a moment may read some hundred messages of other processes in one turn of its event loop. Each counted as much as a chunk of a body, so a busy peer could be read at half of the time only.

Change: eight messages count once, so a turn is full with 2,048 messages, and a connection waits for a turn of its own with 256 in such a turn.

--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -104,7 +104,7 @@
             maxPayloadBytes: Math.min(options.maxBodyBytes, limits.maxSocketMessageBytes),
             counts,
             held,
-            onMessage: socket => connections.get(socket)?.countPart(),
+            onPart: socket => connections.get(socket)?.countPart(),
         });
     server.on("connection", connections.add);
     if (options.tls !== undefined) server.on("secureConnection", connections.secure);
--- a/src/kernel/rpcUpgrade.ts
+++ b/src/kernel/rpcUpgrade.ts
@@ -48,10 +48,13 @@
     readonly counts: CallCounts;
     /** Counts what the connections hold. */
     readonly held: HeldBytes;
-    /** Called for each message. */
-    onMessage(socket: Socket): void;
+    /** Called for each part of what was read, which is a number of messages. */
+    onPart(socket: Socket): void;
 }
 
+/** A busy process may read many messages in a turn of its event loop after a pause. */
+const messagesPerPart = 8;
+
 /** Processes of the fleet send each call in a message of its own. */
 const maxCallsPerMessage = 1;
 
@@ -68,7 +71,7 @@
         counted.setPeerDomain(request.headers[failureDomainHeader] as string | undefined);
         connection.once("close", counted.close);
         const calls = countUnansweredCalls(options.held, connection, request);
-        connection.on("message", () => options.onMessage(request.socket));
+        countParts(connection, () => options.onPart(request.socket));
         // Without `onError`, the adapter writes to the console. The caller gets the error as the answer.
         const handle = getWSConnectionHandler({
             wss: sockets,
@@ -104,6 +107,14 @@
     };
 }
 
+function countParts(connection: WebSocket, onPart: () => void): void {
+    let messageCount = 0;
+    connection.on("message", () => {
+        messageCount++;
+        if (messageCount % messagesPerPart === 0) onPart();
+    });
+}
+
 /** JSON in text frames, which the adapter uses without an encoder. */
 function createCountingEncoder(counted: CountedConnection, calls: UnansweredCalls): Encoder {
     /** Names of the calls without an answer. */
