Bound the connections to all backend servers by the descriptors of a process

What others saw: an entry opens up to 40 connections to each backend server and keeps them for 4 s after their last request. Clients that ask one service after another made it use 771 sockets where its settings allow 600, so the platform would refuse connections of callers, of other processes and at the address for readiness.

Cause: connections were bounded for each backend server, and nothing bounded their sum. With 61 servers they may be 2,440, with 180 more than all descriptors.

Change: all connections to backend servers together have the same share of the descriptors as those of callers, since each request is on one of them at a time. When it is used up, the connection that was idle for longest is closed. If none is idle the request is not sent.

The two new tests of backendConnections.test.ts need the new option.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -35,6 +35,14 @@
     /** Time at which the current socket was connected. */
     openedAtMs: number;
     isBusy: boolean;
+    /** End of the last request. */
+    idleSinceMs: number;
+}
+
+/** What connections to backend servers need of their process. */
+export interface BackendConnectionsContext extends Pick<ReadWatchOptions, "clock" | "log"> {
+    /** Maximum number of connections to all backend servers together. Default: unbounded. */
+    readonly maxTotalConnections?: number;
 }
 
 /** Idle connections are closed early, because a backend server may close them without notice. */
@@ -46,7 +54,7 @@
 /** Creates a pool of connections to any number of backend servers. */
 export function createNodeBackendConnections(
     options: BackendConnectionOptions,
-    { clock, log }: Pick<ReadWatchOptions, "clock" | "log">,
+    { clock, log, maxTotalConnections = Infinity }: BackendConnectionsContext,
 ): BackendConnections {
     const byAddress = new Map<Address, Connection[]>();
     return {
@@ -97,7 +105,7 @@
         const connections = byAddress.get(address) ?? [];
         byAddress.set(address, connections);
         const idle = connections.findLast(connection => !connection.isBusy && mayCarry(connection, requestId));
-        if (idle === undefined && connections.length >= options.maxConnections) closeOneIdle(address, connections);
+        if (idle === undefined) makeRoom(address, connections);
         const acquired = idle ?? createConnection(address);
         if (idle !== undefined) connections.splice(connections.indexOf(idle), 1);
         connections.push(acquired);
@@ -105,6 +113,35 @@
         return acquired;
     }
 
+    /** Makes room for a further connection to an address. */
+    function makeRoom(address: Address, connections: Connection[]): void {
+        if (connections.length >= options.maxConnections) closeOneIdle(address, connections);
+        else if (countOpen() >= maxTotalConnections) closeLongestIdle();
+    }
+
+    function countOpen(): number {
+        let openCount = 0;
+        for (const connections of byAddress.values()) openCount += connections.filter(isOpen).length;
+        return openCount;
+    }
+
+    function closeLongestIdle(): void {
+        const idle = [...byAddress.values()].flat().filter(connection => !connection.isBusy && isOpen(connection));
+        const first = idle.sort((left, right) => left.idleSinceMs - right.idleSinceMs)[0];
+        if (first === undefined) throw new NotSentError(`all ${maxTotalConnections} connections to backend servers are in use`);
+        removeConnection(first);
+        closeConnection(first);
+    }
+
+    function removeConnection(connection: Connection): void {
+        for (const [address, connections] of byAddress) {
+            const index = connections.indexOf(connection);
+            if (index < 0) continue;
+            connections.splice(index, 1);
+            if (connections.length === 0) byAddress.delete(address);
+        }
+    }
+
     /** Makes room for a connection to an address by closing one that is idle and may not carry the request. */
     function closeOneIdle(address: Address, connections: Connection[]): void {
         const idle = connections.find(connection => !connection.isBusy);
@@ -117,6 +154,7 @@
         const connect = createConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs });
         const connection: Connection = {
             isBusy: false,
+            idleSinceMs: clock.nowMs(),
             socket: undefined,
             watch: undefined,
             socketError: undefined,
@@ -170,9 +208,10 @@
             if (isReleased) return;
             isReleased = true;
             connection.isBusy = false;
+            connection.idleSinceMs = clock.nowMs();
             const isReusable = isWhole && !connection.refusedIds.isFull;
             if (!isReusable) closeConnection(connection);
-            const isKept = (other: Connection) => other === connection ? isReusable : other.isBusy || other.client.stats.connected;
+            const isKept = (other: Connection) => other === connection ? isReusable : isOpen(other);
             const remaining = (byAddress.get(address) ?? []).filter(isKept);
             if (remaining.length > 0) byAddress.set(address, remaining);
             else byAddress.delete(address);
@@ -180,6 +219,11 @@
     }
 }
 
+/** An idle connection may have been closed by its server. */
+function isOpen({ isBusy, client }: Connection): boolean {
+    return isBusy || client.stats.connected;
+}
+
 /** False if a copy of an earlier refusal on the connection could be taken for the answer to the request. */
 function mayCarry({ refusedIds }: Connection, requestId: string | undefined): boolean {
     return requestId === undefined || !refusedIds.has(requestId);
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -78,7 +78,11 @@
     }, countLogIntervalMs).unref();
     const sockets = createRpcSockets({ fleetSecret, clock: nodeClock, log, counts, connectTimeoutMs });
     const serverLog = createLogger("httpServer");
-    const connectionLog = createLogger("backendConnections");
+    const backendContext = {
+        clock: nodeClock,
+        log: createLogger("backendConnections"),
+        maxTotalConnections: limits.maxBackendConnections,
+    };
     const serverContext = {
         fleetSecret,
         clock: nodeClock,
@@ -113,7 +117,7 @@
             const httpLink = createHttpLink(address, pool, fleetSecret, counts, relay);
             return relay === undefined ? sockets.linkTo(address, httpLink) : httpLink;
         },
-        createBackendConnections: options => createNodeBackendConnections(options, { clock: nodeClock, log: connectionLog }),
+        createBackendConnections: options => createNodeBackendConnections(options, backendContext),
     };
 }
 
--- a/src/kernel/processLimits.ts
+++ b/src/kernel/processLimits.ts
@@ -22,6 +22,8 @@
     readonly maxSocketMessageBytes: number;
     /** Largest body that servers of a kind take. */
     readonly maxBodyBytes: Readonly<Record<ServerKind, number>>;
+    /** Number of connections to backend servers. */
+    readonly maxBackendConnections: number;
     /** Number of connections that servers of a kind accept. */
     readonly maxConnections: Readonly<Record<ServerKind, number>>;
 }
@@ -42,26 +44,29 @@
 const changeShare = messageShare / 2;
 /** Descriptors for files and for what the runtime opens itself. */
 const reservedDescriptors = 200;
-/** Shares of the other descriptors. What is left is for connections to backend servers and other processes. */
+/** Shares of the other descriptors. No process has servers of all kinds. What its servers and backend connections leave is for other connections. */
 const connectionShares: Readonly<Record<ServerKind, number>> = { callers: 0.4, administration: 0.4, readiness: 0.03, fleet: 0.15 };
+/** Each request of a caller is on one connection to a backend server at a time. */
+const backendShare = connectionShares.callers;
 const minConnections = 8;
 
 /** Returns what a process with these settings may hold. */
 export function getProcessLimits({ memoryMb, maxDescriptors }: ProcessAllowance): ProcessLimits {
     const partBytes = Math.min(maxPartBytes, Math.max(minPartBytes, Math.floor((memoryMb * mib - runtimeBytes) / partCount)));
     const descriptors = Math.max(0, maxDescriptors - reservedDescriptors);
-    const getConnections = (kind: ServerKind) => Math.max(minConnections, Math.floor(descriptors * connectionShares[kind]));
+    const takeShare = (share: number) => Math.max(minConnections, Math.floor(descriptors * share));
     return {
         maxRequestBytes: partBytes,
         maxAnswerBytes: partBytes,
         maxCallBytes: partBytes,
         maxSocketMessageBytes: Math.floor(partBytes * messageShare),
         maxBodyBytes: { callers: partBytes, administration: Math.floor(partBytes * changeShare), readiness: partBytes, fleet: partBytes },
+        maxBackendConnections: takeShare(backendShare),
         maxConnections: {
-            callers: getConnections("callers"),
-            administration: getConnections("administration"),
-            readiness: getConnections("readiness"),
-            fleet: getConnections("fleet"),
+            callers: takeShare(connectionShares.callers),
+            administration: takeShare(connectionShares.administration),
+            readiness: takeShare(connectionShares.readiness),
+            fleet: takeShare(connectionShares.fleet),
         },
     };
 }
--- a/test/backendConnections.test.ts
+++ b/test/backendConnections.test.ts
@@ -22,8 +22,9 @@
     return { address: `127.0.0.1:${port}`, counts, close: () => server.close() };
 }
 
-function createConnections(maxConnections = 4): BackendConnections {
-    return createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections }, { clock: nodeClock, log: createSilentLogger() });
+function createConnections(maxConnections = 4, maxTotalConnections = 100): BackendConnections {
+    const context = { clock: nodeClock, log: createSilentLogger(), maxTotalConnections };
+    return createNodeBackendConnections({ connectTimeoutMs: 500, maxConnections }, context);
 }
 
 async function get(connections: BackendConnections, address: string): Promise<string> {
@@ -77,3 +78,46 @@
     server.close();
     await t.rejects(createConnections().request(server.address, { method: "GET", path: "/" }), NotSentError);
 });
+
+t.test("connections to all servers together are bounded, and the one that was idle for longest gives way", async t => {
+    const servers = await Promise.all([1, 2, 3].map(() => serveKept()));
+    const connections = createConnections(4, 2);
+    const [first, second, third] = servers as [KeptServer, KeptServer, KeptServer];
+    await get(connections, first.address);
+    await get(connections, second.address);
+    await get(connections, third.address);
+    await first.closed;
+    await get(connections, second.address);
+    t.same(servers.map(server => server.counts.connections), [1, 1, 1], "the second was kept");
+    connections.close();
+    for (const server of servers) server.close();
+});
+
+t.test("a request for which no connection can be opened is not sent", async t => {
+    const server = await serve(socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"));
+    const other = await serveKept();
+    const connections = createConnections(4, 1);
+    const abortController = new AbortController();
+    await connections.request(server.address, { method: "GET", path: "/", signal: abortController.signal });
+    await t.rejects(connections.request(other.address, { method: "GET", path: "/" }), NotSentError);
+    abortController.abort();
+    t.equal(await get(connections, other.address), "ok");
+    connections.close();
+    server.close();
+    other.close();
+});
+
+type KeptServer = Awaited<ReturnType<typeof serveKept>>;
+
+/** Starts a server that keeps its connections, and tells when one of them was closed. */
+async function serveKept() {
+    let reportClosed: () => void;
+    const closed = new Promise<void>(resolve => reportClosed = resolve);
+    const watched = new Set<net.Socket>();
+    const server = await serve(socket => {
+        if (!watched.has(socket)) socket.once("close", () => reportClosed());
+        watched.add(socket);
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    return { ...server, closed };
+}
--- a/test/crowd/crowdCheck.ts
+++ b/test/crowd/crowdCheck.ts
@@ -11,6 +11,8 @@
     readonly connections: number;
     readonly createSending: (target: Target) => Sending;
     readonly limits?: Partial<ProcessLimits>;
+    /** Services with one backend server each. Default: 1. */
+    readonly serviceCount?: number;
 }
 
 /**
@@ -18,7 +20,7 @@
  * requests are answered while the connections of the crowd are still there. Afterwards the entry has to be ready again.
  */
 export async function checkCrowd(t: Test, plan: CrowdPlan): Promise<void> {
-    const fleet = await startCrowdFleet(plan.limits);
+    const fleet = await startCrowdFleet(plan.limits, plan.serviceCount);
     const target = fleet.targets[plan.to];
     const crowd = sendCrowd(target, plan.connections, plan.createSending(target));
     try {
--- a/test/crowd/crowdFleet.ts
+++ b/test/crowd/crowdFleet.ts
@@ -1,6 +1,6 @@
 /**
  * Starts one process of each role on loopback addresses, with the programs of the deploy file and limits that are half of those of the
- * deployment `cascade-tabs`, or lower. A backend server runs in this process. What each process uses is read from the kernel.
+ * deployment `cascade-tabs`, or lower. The backend servers run in this process. What each process uses is read from the kernel.
  */
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
@@ -55,6 +55,8 @@
 
 /** Largest answer of the backend server of these fleets. */
 export const largeAnswerBytes = 4 * 1024 * 1024;
+/** Time that a backend server of these fleets takes for a request whose path ends with `slow`. */
+const slowWorkMs = 200;
 /** Descriptors that the platform keeps for files. All others are shared by sockets, pipes and data files. */
 export const fileDescriptors = 200;
 
@@ -65,6 +67,10 @@
 const heapMb = 100;
 const defaultLimits: ProcessLimits = { memoryMb: 175, maxDescriptors: 800 };
 const zone = "pnw-a";
+/** `max_conns` of the services. */
+const maxServerConnections = 110;
+/** Last part of the address of the first backend server, which has an agent. */
+const firstWorkerHost = 21;
 /** Time for which ordinary requests are sent until one is answered. */
 const servedTimeoutMs = 60_000;
 const tryTimeoutMs = 10_000;
@@ -82,15 +88,22 @@
     };
 }
 
+/** Name of a service, which has one backend server. Its paths begin with its name. */
+export function getServiceName(index: number): string {
+    return index === 0 ? "desk" : `desk${index}`;
+}
+
 /** Starts the processes and waits until an ordinary request is answered. */
-export async function startCrowdFleet(ownLimits: Partial<ProcessLimits> = {}): Promise<CrowdFleet> {
+export async function startCrowdFleet(ownLimits: Partial<ProcessLimits> = {}, serviceCount = 1): Promise<CrowdFleet> {
     const limits = { ...defaultLimits, ...ownLimits };
     const library = await loadFleetLibrary();
     const folder = fs.mkdtempSync(path.join(tmpdir(), "lovagefold-crowd-"));
-    const { prefix, basePort } = await chooseNetwork();
+    const { prefix, basePort } = await chooseNetwork(serviceCount);
+    const services = Array.from({ length: serviceCount }, (_, index) => getServiceName(index));
     const ports = { control: basePort, front: basePort + 1, ready: basePort + 2, worker: basePort + 3, fleet: basePort + 4 };
-    const ips = { control: `${prefix}.1`, entry: `${prefix}.11`, agent: `${prefix}.21` };
-    const addresses: FleetAddresses = { ports, controlIps: [ips.control], workerIps: [ips.agent], zones: [zone] };
+    const ips = { control: `${prefix}.1`, entry: `${prefix}.11`, agent: `${prefix}.${firstWorkerHost}` };
+    const workerIps = services.map((_, index) => `${prefix}.${firstWorkerHost + index}`);
+    const addresses: FleetAddresses = { ports, controlIps: [ips.control], workerIps, zones: [zone] };
     const listen: Readonly<Record<Role, object>> = {
         control: { control: `${ips.control}:${ports.control}` },
         entry: { front: `${ips.entry}:${ports.front}`, ready: `${ips.entry}:${ports.ready}` },
@@ -109,16 +122,8 @@
     for (const role of ["control", "entry", "agent"] as const) processes.set(role, startProcess(role));
     const maxSockets = new Map<Role, number>();
     const usageTimer = setInterval(() => processes.forEach((_, role) => countSockets(role)), usagePollMs);
-    const worker = await library.startWorker(addresses, {
-        id: "w1",
-        index: 0,
-        service: "desk",
-        handle(request, response) {
-            const isLarge = request.url === "/desk/large";
-            response.writeHead(200).end(isLarge ? Buffer.alloc(largeAnswerBytes, "l") : "whole");
-        },
-    }, () => undefined);
-    await library.createOperator(addresses, () => undefined).replace(createDesiredState());
+    const workers = await Promise.all(services.map((service, index) => startWorker(service, index)));
+    await library.createOperator(addresses, () => undefined).replace(createDesiredState(services));
     const isTargetServed = (target: Target) => isServed(library, target, () => isRunning(processes.get(target.role)!));
     const fleet: CrowdFleet = {
         targets,
@@ -130,7 +135,7 @@
         async stop() {
             clearInterval(usageTimer);
             await Promise.all([...processes.values()].map(endProcess));
-            await worker.stop();
+            await Promise.all(workers.map(worker => worker.stop()));
             fs.rmSync(folder, { recursive: true, force: true });
         },
     };
@@ -138,6 +143,19 @@
     await fleet.stop();
     throw new Error("an ordinary request was not answered before the crowd");
 
+    function startWorker(service: string, index: number) {
+        return library.startWorker(addresses, {
+            id: `w${index + 1}`,
+            index,
+            service,
+            handle(request, response) {
+                const answer = request.url === "/desk/large" ? Buffer.alloc(largeAnswerBytes, "l") : "whole";
+                const workMs = request.url!.endsWith("/slow") ? slowWorkMs : 0;
+                setTimeout(() => response.writeHead(200).end(answer), workMs);
+            },
+        }, () => undefined);
+    }
+
     function startProcess(role: Role): ChildProcess {
         const file = path.join(folder, `${role}.json`);
         const dataFolder = path.join(folder, "data");
@@ -173,12 +191,12 @@
     }
 }
 
-function createDesiredState(): object {
-    const route = { name: "desk", host: "desk.example", path_prefix: "/desk/", type: "idempotent", timeout_ms: 10_000, service: "desk" };
+function createDesiredState(services: readonly string[]): object {
+    const route = { host: "desk.example", type: "idempotent", timeout_ms: 10_000, attempts: 2, public: false };
     return {
         version: 1,
-        routes: [{ ...route, attempts: 2, public: false }],
-        services: [{ name: "desk", health_path: "/healthz", max_conns: 110, protocol: "h1", tls: false }],
+        routes: services.map(service => ({ ...route, name: service, path_prefix: `/${service}/`, service })),
+        services: services.map(name => ({ name, health_path: "/healthz", max_conns: maxServerConnections, protocol: "h1", tls: false })),
         limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
         tenants: [{ name: "county", api_keys: ["county-key"], priority: 1, reserved: 1e9 }],
     };
@@ -228,11 +246,14 @@
 }
 
 /** Chooses a block of loopback addresses on which the ports of the fleet are free. */
-async function chooseNetwork(): Promise<{ readonly prefix: string; readonly basePort: number; }> {
+async function chooseNetwork(serviceCount: number): Promise<{ readonly prefix: string; readonly basePort: number; }> {
     for (;;) {
         const prefix = `127.${randomInt(10, 210)}.${randomInt(1, 250)}`;
         const basePort = randomInt(20_000, 29_000);
-        const checks = [1, 11, 21].flatMap(host => [0, 1, 2, 3, 4].map(offset => isFree(`${prefix}.${host}`, basePort + offset)));
+        const workerHosts = Array.from({ length: serviceCount }, (_, index) => firstWorkerHost + index);
+        const checks = [1, 11, ...workerHosts].flatMap(host =>
+            [0, 1, 2, 3, 4].map(offset => isFree(`${prefix}.${host}`, basePort + offset))
+        );
         if ((await Promise.all(checks)).every(Boolean)) return { prefix, basePort };
     }
 }
