Move calls over HTTP out of the HTTP server

What is checked and counted of a call over HTTP is in httpCalls.ts now, the limits of bodies are beside their reader. The tests of connections, limits, the real host and call counts pass.

--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -7,16 +7,15 @@
 import type { Acceptor } from "./acceptor.js";
 import { parseAddress } from "./address.js";
 import { flattenHeaders } from "./backendConnections.js";
-import { failureDomainHeader } from "./callCounts.js";
 import type { CallCounts } from "./callCounts.js";
-import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
 import type { HeldBytes, HeldMessage } from "./heldBytes.js";
 import type { Clock, HttpHandler, HttpRequest, HttpResponse, Listener, Logger, ServerOptions } from "./host.js";
+import { countHttpCall, takeHttpCall } from "./httpCalls.js";
 import { createResponse } from "./httpResponse.js";
 import type { ProcessLimits } from "./processLimits.js";
 import type { ReadPacer } from "./readPacer.js";
-import { getStatedBytes, hasBody, readBody, refuseBody } from "./requestBody.js";
-import { readCallPath } from "./rpcLinks.js";
+import { hasBody, readBody, refuseBody } from "./requestBody.js";
+import type { BodyLimits } from "./requestBody.js";
 import { acceptRpcUpgrades } from "./rpcUpgrade.js";
 import type { RpcUpgrades } from "./rpcUpgrade.js";
 import { createServerConnections, pollNetwork } from "./serverConnections.js";
@@ -73,7 +72,7 @@
             connection.enqueue({
                 response: outgoing,
                 start() {
-                    if (!takeCall(reading, context, connection, incoming, outgoing)) return;
+                    if (!takeHttpCall(reading, context, connection, incoming, outgoing)) return;
                     countHttpCall(counts, incoming, outgoing);
                     rpc(incoming, outgoing);
                 },
@@ -155,51 +154,6 @@
     });
 }
 
-/**
- * Checks a call over HTTP before its body is read, and counts the body. Returns false if the call is refused. The handler of such calls reads
- * the body itself, so its length has to be known beforehand. Processes of the fleet state it.
- */
-function takeCall(
-    { getMaxBodyBytes, held }: BodyLimits,
-    { fleetSecret }: ServerContext,
-    connection: ServerConnection,
-    incoming: http.IncomingMessage,
-    outgoing: http.ServerResponse,
-): boolean {
-    if (!isSameSecret(getHeader(incoming, fleetSecretHeader), fleetSecret)) {
-        outgoing.writeHead(401, { connection: "close" }).end();
-        return false;
-    }
-    const statedBytes = getStatedBytes(incoming);
-    const isTooLarge = (statedBytes ?? 0) > getMaxBodyBytes();
-    if (isTooLarge || statedBytes === undefined && hasBody(incoming)) {
-        refuseBody(createResponse(outgoing), isTooLarge ? "bodyTooLarge" : "lengthRequired");
-        return false;
-    }
-    const message = held.open(incoming.socket.remoteAddress ?? "", () => incoming.socket.destroy());
-    outgoing.once("close", message.release);
-    incoming.once("end", () => {
-        message.complete();
-        connection.protect();
-    });
-    message.setSize(statedBytes ?? 0);
-    return !incoming.socket.destroyed;
-}
-
-/** The bytes of the answer include its headers, because the handler of calls over HTTP does not tell the size of a body. */
-function countHttpCall(counts: CallCounts, incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
-    const { socket } = incoming;
-    const { procedure, callCount } = readCallPath(incoming.url!);
-    const peer = counts.locate(getHeader(incoming, failureDomainHeader));
-    const writtenBytes = socket.bytesWritten;
-    outgoing.setHeader(failureDomainHeader, counts.ownDomain);
-    outgoing.once("close", () =>
-        counts.add({ side: "server", procedure, peer }, callCount, {
-            sentBytes: socket.bytesWritten - writtenBytes,
-            receivedBytes: Number(incoming.headers["content-length"] ?? 0),
-        }));
-}
-
 async function createServer(options: ServerOptions, listener: http.RequestListener): Promise<http.Server> {
     const serverOptions = { headersTimeout: headersTimeoutMs, keepAliveTimeout: keepAliveTimeoutMs, maxHeaderSize: maxHeaderSizeBytes };
     if (options.tls === undefined) return http.createServer(serverOptions, listener);
@@ -220,12 +174,6 @@
     readonly body: Promise<Uint8Array | undefined>;
 }
 
-/** Where the bodies of a server count, and how large one may be. */
-interface BodyLimits {
-    readonly held: HeldBytes;
-    getMaxBodyBytes(): number;
-}
-
 /** Begins to read the body of a request. */
 function receive(
     { getMaxBodyBytes, held }: BodyLimits,
@@ -293,8 +241,3 @@
         held.release();
     }
 }
-
-function getHeader(incoming: http.IncomingMessage, headerName: string): string | undefined {
-    const value = incoming.headers[headerName];
-    return Array.isArray(value) ? value[0] : value;
-}
--- a/src/kernel/requestBody.ts
+++ b/src/kernel/requestBody.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import VError from "verror";
 import { createByteCollector } from "./byteCollector.js";
-import type { HeldMessage } from "./heldBytes.js";
+import type { HeldBytes, HeldMessage } from "./heldBytes.js";
 import type { HttpResponse } from "./host.js";
 
 /** Refusals of requests before their body is whole. */
@@ -12,6 +12,12 @@
     overloaded: { status: 503, detail: "The bodies of other requests take all the room.", headers: { "retry-after": "1" } },
 } as const;
 
+/** Where the bodies of a server count, and how large one may be. */
+export interface BodyLimits {
+    readonly held: HeldBytes;
+    getMaxBodyBytes(): number;
+}
+
 /** Options of reading a body. */
 export interface BodyOptions {
     readonly maxBytes: number;
