Bound the calls of a request over HTTP, and count their answers until they are read

What others saw: clients that send requests with some thousand calls each to the addresses for calls between processes, with the empty secret, made an entry and control use 201 and 197 MB of 160. Ordinary requests waited: the tests took 48 and 49 s.

Cause: a request may hold as many calls as fit into its head, all of them are handled at once, and an answer that is not read was not counted.

Change: a request may have 64 calls, as our processes send at most. What a peer does not read of an answer counts in the room for calls, and gives way like all else there.

Test first: "an answer to a call over HTTP that is not read gives way ..." and "a batch over HTTP that is larger than those of our processes is refused" of unansweredCalls.test.ts wait until their timeout without the change.

The first try counted an answer at its end, which the handler of such calls reaches only when all of it is sent; the test showed it.

--- a/src/kernel/httpCalls.ts
+++ b/src/kernel/httpCalls.ts
@@ -3,6 +3,7 @@
 import { failureDomainHeader } from "./callCounts.js";
 import type { CallCounts } from "./callCounts.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
+import type { HeldMessage } from "./heldBytes.js";
 import { createResponse } from "./httpResponse.js";
 import { getStatedBytes, hasBody, refuseBody } from "./requestBody.js";
 import type { BodyLimits } from "./requestBody.js";
@@ -37,9 +38,22 @@
         connection.protect();
     });
     message.setSize(statedBytes ?? 0);
+    countAnswer(outgoing, message);
     return !incoming.socket.destroyed;
 }
 
+/** Counts what the peer does not read of the answer. The handler of calls writes it as a whole, and does not end it before all of it is sent. */
+function countAnswer(outgoing: ServerResponse, message: HeldMessage): void {
+    outgoing.write = new Proxy(outgoing.write, {
+        apply(write, receiver, parameters): boolean {
+            const hasRoom = Reflect.apply(write, receiver, parameters);
+            message.allowEnd(() => outgoing.destroy());
+            message.setSize(outgoing.socket?.writableLength ?? 0);
+            return hasRoom;
+        },
+    });
+}
+
 /** Counts a call that was taken. The bytes of the answer include its headers, because the handler of calls over HTTP does not tell the size of a body. */
 export function countHttpCall(counts: CallCounts, incoming: IncomingMessage, outgoing: ServerResponse): void {
     const { socket } = incoming;
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -16,6 +16,7 @@
 import type { ReadPacer } from "./readPacer.js";
 import { hasBody, readBody, refuseBody } from "./requestBody.js";
 import type { BodyLimits } from "./requestBody.js";
+import { maxBatchItems } from "./rpcLinks.js";
 import { acceptRpcUpgrades } from "./rpcUpgrade.js";
 import type { RpcUpgrades } from "./rpcUpgrade.js";
 import { createServerConnections, pollNetwork } from "./serverConnections.js";
@@ -59,6 +60,7 @@
         router: options.router,
         basePath: rpcBasePath,
         allowBatching: true,
+        maxBatchSize: maxBatchItems,
         allowMethodOverride: true,
         maxBodySize: maxBodyBytes,
     });
--- a/src/kernel/rpcLinks.ts
+++ b/src/kernel/rpcLinks.ts
@@ -15,7 +15,8 @@
 
 /** Must be longer than every long poll. */
 const peerCallTimeoutMs = 75_000;
-const maxBatchItems = 64;
+/** Largest number of calls over HTTP in one request. */
+export const maxBatchItems = 64;
 
 // The answer to a batch arrives when its slowest call is done. Therefore only calls of one procedure share a batch, and a long poll is
 // sent alone.
--- a/test/crowd/calls.test.ts
+++ b/test/crowd/calls.test.ts
@@ -1,4 +1,4 @@
-/** Calls on the WebSocket connections between processes, by clients that send many of them, or messages that are small only while compressed. */
+/** Calls between processes, by clients that send many of them, or messages that are small only while compressed. */
 import { constants, deflateRawSync } from "node:zlib";
 import { test } from "tap";
 import { checkCrowd } from "./crowdCheck.js";
@@ -15,6 +15,9 @@
 /** A fleet without a secret takes the empty one. */
 const upgradeHead = "GET /rpc HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
     + "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Extensions: permessage-deflate\r\nlovage-fleet-secret:\r\n\r\n";
+/** As many as fit into a head. */
+const callsPerBatch = 3_000;
+const batches = 200;
 const wholeText = 0x81;
 const wholeCompressedText = 0xc1;
 /** `deflateRawSync` ends a block with these bytes, which are not sent. */
@@ -39,6 +42,11 @@
     return Buffer.from(JSON.stringify({ id: 1, method: "query", params: { path: "none", input: "i".repeat(inputBytes) } }));
 }
 
+function createBatch(): Buffer {
+    const procedures = Array.from({ length: callsPerBatch }, () => "none").join();
+    return Buffer.from(`GET /rpc/${procedures}?batch=1 HTTP/1.1\r\nHost: a\r\nlovage-fleet-secret:\r\n\r\n`);
+}
+
 const fleetTargets: readonly TargetName[] = ["entryFleet", "controlFleet", "agentFleet"];
 
 for (const to of fleetTargets) {
@@ -54,4 +62,7 @@
             return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts: inflatedMessages }) });
         });
     }
+
+    test(`calls over HTTP in large batches, their answers unread, to ${to}`, t =>
+        checkCrowd(t, { to, connections, limits, createSending: () => ({ head: "", part: createBatch(), parts: batches }) }));
 }
--- a/test/unansweredCalls.test.ts
+++ b/test/unansweredCalls.test.ts
@@ -1,11 +1,14 @@
 /** What calls without an answer hold is bounded, and costs other processes nothing. On real sockets. */
 import { once } from "node:events";
+import * as net from "node:net";
 import { test } from "tap";
 import { WebSocket } from "ws";
+import { parseAddress } from "../src/kernel/address.js";
 import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { defaultAllowance } from "../src/kernel/processLimits.js";
 import { createRpcClients, rpc } from "../src/kernel/rpc.js";
+import { maxBatchItems } from "../src/kernel/rpcLinks.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 const secret = "test-secret";
@@ -107,3 +110,27 @@
     socket.terminate();
     await listener.close();
 });
+
+test("an answer to a call over HTTP that is not read gives way, and another process is answered", async t => {
+    const { listener, client } = await startServer();
+    const { host, port } = parseAddress(listener.address);
+    const socket = net.connect({ host, port, localAddress: "127.0.0.9" });
+    socket.on("error", () => undefined);
+    socket.pause();
+    socket.write(`GET /rpc/sized?input=30000000 HTTP/1.1\r\nHost: a\r\n${fleetSecretHeader}: ${secret}\r\n\r\n`);
+    await waitFor(() => listener.held.getEndedCount() === 1);
+    t.equal(listener.held.getTotalBytes() < 1_000_000, true);
+    t.equal(await client.sized.query(3), "aaa");
+    socket.destroy();
+    await listener.close();
+});
+
+test("a batch over HTTP that is larger than those of our processes is refused", async t => {
+    const { listener, waiting } = await startServer();
+    const headers = { [fleetSecretHeader]: secret };
+    const procedures = Array.from({ length: maxBatchItems + 1 }, () => "held").join();
+    const response = await fetch(`http://${listener.address}/rpc/${procedures}?batch=1`, { headers });
+    t.match(await response.text(), /batch/i);
+    t.equal(waiting.length, 0);
+    await listener.close();
+});
