--- a/test/crowd/crowdFleet.ts
+++ b/test/crowd/crowdFleet.ts
@@ -63,9 +63,9 @@
 const repositoryRoot = path.resolve(path.dirname(fileURLToPath(import.meta.url)), "../../..");
 const bytesPerKib = 1_024;
 const bytesPerMb = 1024 * 1024;
-/** Half of the limits of an entry of `cascade-tabs`, with descriptors for 600 sockets. */
+/** Half of the heap limit of an entry. */
 const heapMb = 100;
-const defaultLimits: ProcessLimits = { memoryMb: 175, maxDescriptors: 800 };
+const defaultLimits: ProcessLimits = { memoryMb: 160, maxDescriptors: 800 };
 const zone = "pnw-a";
 /** `max_conns` of the services. */
 const maxServerConnections = 110;
