Close a connection on which more than 512 requests are sent ahead

Cause: 64 KiB are read at once, which are 2,500 such requests, and all of them are parsed. They waited until all requests together had no more room, so they outlived several collections of garbage, each read anew, and the heap grew to its limit.

Change: a connection is closed as soon as more than 512 of its requests wait. None of them has run. Clients of the pages wait for the answer to a request.

Test first: "a connection on which far too many requests are sent ahead is closed ..." of connectionLimits.test.ts waits until its timeout without the change.

--- a/src/kernel/serverConnections.ts
+++ b/src/kernel/serverConnections.ts
@@ -75,6 +75,14 @@
 const waitingRequestBytes = 8 * 1024;
 /** Requests of a connection that wait for the one before them. With more, the connection is not read until they are fewer. */
 export const maxWaitingRequests = 16;
+/** Requests of a connection that wait although it is not read any more, as all that was read at once is parsed. With more, it is closed. */
+export const maxRequestsAhead = 512;
+
+/** Why connections are closed. */
+const refusals = {
+    tooManyConnections: "Connections are closed because there are too many.",
+    tooManyRequests: "Connections are closed because too many requests were sent ahead on each of them.",
+} as const;
 
 /** Creates the connections of a server that has none yet. */
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
@@ -88,7 +96,7 @@
     return {
         add(socket) {
             if (connectionCount >= options.maxConnections && !closeOne(clock.nowMs())) {
-                countRefused(socket.remoteAddress);
+                countRefused(socket.remoteAddress, "tooManyConnections");
                 socket.destroy();
                 return;
             }
@@ -161,7 +169,7 @@
         for (const ofSender of senders) {
             for (const connection of ofSender) {
                 if (connection.isProtected || connection.socket.destroyed || nowMs - connection.idleSinceMs < minIdleMs) continue;
-                countRefused(connection.sender);
+                countRefused(connection.sender, "tooManyConnections");
                 closeConnection(connection);
                 return true;
             }
@@ -169,12 +177,12 @@
         return false;
     }
 
-    function countRefused(sender: string | undefined): void {
+    function countRefused(sender: string | undefined, refusal: keyof typeof refusals): void {
         refusedCount++;
         const nowMs = clock.nowMs();
         if (nowMs - loggedAtMs < logIntervalMs) return;
         loggedAtMs = nowMs;
-        log.warn("Connections are closed because there are too many.", { sender, connections: connectionCount, closed: refusedCount });
+        log.warn(refusals[refusal], { sender, connections: connectionCount, closed: refusedCount });
     }
 
     function enqueue(connection: Connection, exchange: Exchange): void {
@@ -183,6 +191,10 @@
         connection.paced.countPart();
         if (connection.current === undefined) return begin(connection, exchange);
         connection.waiting.push(exchange);
+        if (connection.waiting.length > maxRequestsAhead) {
+            countRefused(connection.sender, "tooManyRequests");
+            return closeConnection(connection);
+        }
         if (connection.waiting.length > maxWaitingRequests) {
             connection.paced.setBlocked(true);
             connection.held.allowEnd(() => closeConnection(connection));
--- a/test/connectionLimits.test.ts
+++ b/test/connectionLimits.test.ts
@@ -8,7 +8,7 @@
 import { defaultAllowance, getProcessLimits } from "../src/kernel/processLimits.js";
 import type { ProcessAllowance } from "../src/kernel/processLimits.js";
 import { maxMessageBytes } from "../src/kernel/readLimits.js";
-import { maxWaitingRequests } from "../src/kernel/serverConnections.js";
+import { maxRequestsAhead, maxWaitingRequests } from "../src/kernel/serverConnections.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 async function startServer(handler: HttpHandler, allowance?: ProcessAllowance, options: Partial<ServerOptions> = {}) {
@@ -88,6 +88,21 @@
     await server.listener.close();
 });
 
+test("a connection on which far too many requests are sent ahead is closed, and nothing of them is held", async t => {
+    let handled = 0;
+    const server = await startServer((request, response) => {
+        handled++;
+        return answerPath(request, response);
+    });
+    const client = await connect(server);
+    client.socket.write("GET / HTTP/1.1\r\nHost:a\r\n\r\n".repeat(maxRequestsAhead + 2));
+    await client.closed;
+    t.ok(handled <= 1, `${handled} were handled`);
+    t.equal(server.listener.getRefusedConnections(), 1);
+    await waitFor(() => server.listener.held.getTotalBytes() === 0);
+    await server.listener.close();
+});
+
 test("a client that leaves leaves nothing behind of requests that waited, and those do not run", async t => {
     const handled: string[] = [];
     const aborted: string[] = [];
