Keep a connection that replaces the only other one of its backend server

Test first: "a connection that replaces the only other one of its server is used again" of backendConnections.test.ts opened three connections where two suffice.

--- a/src/kernel/backendConnections.ts
+++ b/src/kernel/backendConnections.ts
@@ -103,9 +103,9 @@
     // Prefers the most recently used connection, which the server is least likely to have closed.
     function acquireConnection(address: Address, requestId: string | undefined): Connection {
         const connections = byAddress.get(address) ?? [];
-        byAddress.set(address, connections);
         const idle = connections.findLast(connection => !connection.isBusy && mayCarry(connection, requestId));
         if (idle === undefined) makeRoom(address, connections);
+        byAddress.set(address, connections);
         const acquired = idle ?? createConnection(address);
         if (idle !== undefined) connections.splice(connections.indexOf(idle), 1);
         connections.push(acquired);
--- a/test/backendConnections.test.ts
+++ b/test/backendConnections.test.ts
@@ -107,6 +107,21 @@
     other.close();
 });
 
+t.test("a connection that replaces the only other one of its server is used again", async t => {
+    const server = await serveKept();
+    const connections = createConnections(4, 1);
+    const refused = await connections.request(server.address, { method: "GET", path: "/", requestId: "a" });
+    refused.recordRefusal!();
+    await readAll(refused.body, maxMessageBytes.answer);
+    for (const requestId of ["a", "b"]) {
+        const response = await connections.request(server.address, { method: "GET", path: "/", requestId });
+        await readAll(response.body, maxMessageBytes.answer);
+    }
+    t.equal(server.counts.connections, 2);
+    connections.close();
+    server.close();
+});
+
 type KeptServer = Awaited<ReturnType<typeof serveKept>>;
 
 /** Starts a server that keeps its connections, and tells when one of them was closed. */
