Refuse bodies as all other requests are refused, logged and counted

Read as the person on call would: a request whose body was too large, or for which there was no room, left no line in the log of the entry and counted nowhere, and its answer did not name the attempt. The body of the 503 had the code of another refusal, "overloaded".

Cause: the server refused such requests itself, with texts of its own.

Change: a server may be given the refusal. The entry gives that of its gateway, which names the attempt, logs and counts; the server closes the connection after it. Refusals for want of room have a code of their own, noRoomForBody. A refusal that fails ends the request, not the process. The texts stand once, in the table of messages.

The two new tests of connectionLimits.test.ts need the option.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -10,11 +10,20 @@
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import { createHeldBytes } from "../../kernel/heldBytes.js";
 import type { HeldBytes } from "../../kernel/heldBytes.js";
-import type { BackendConnections, Host, HttpHandler, HttpRequest, HttpResponse } from "../../kernel/host.js";
+import type {
+    BackendConnections,
+    BodyRefusal,
+    BodyRefusalHandler,
+    Host,
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+} from "../../kernel/host.js";
 import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
+import { noRoomRetryAfterMs } from "../../kernel/requestBody.js";
 import { createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { ProcessIdentity } from "../../kernel/types.js";
-import { refuse, toVerdict } from "../../kernel/verdict.js";
+import { createVerdict, refuse, toVerdict } from "../../kernel/verdict.js";
 import type { Verdict } from "../../kernel/verdict.js";
 import { announceDirectEntry } from "../announcement.js";
 import { createLeaseManager } from "../budgets/leaseManager.js";
@@ -83,6 +92,7 @@
 /** A running gateway. */
 export interface Gateway {
     readonly handle: HttpHandler;
+    readonly refuseBody: BodyRefusalHandler;
     /** Largest body by the configuration. Infinite while it states none. */
     getMaxBodyBytes(): number;
     /** RPC procedures that other entries call. */
@@ -216,6 +226,7 @@
 
     return {
         handle,
+        refuseBody,
         getMaxBodyBytes: () => limits?.maxBodyBytes ?? Infinity,
         router: createGatewayRouter({ shareLoad: loadExchange.receive }),
         // A saturated gateway goes on to serve what arrives, but new connections should go to others.
@@ -341,6 +352,15 @@
         }
     }
 
+    function refuseBody(request: HttpRequest, refusal: BodyRefusal, response: HttpResponse): void {
+        statistics.recordRequest();
+        const head = protocol.parseRequest(request);
+        const requestId = "problem" in head ? undefined : head.requestId;
+        const retryMs = refusal === "noRoomForBody" ? noRoomRetryAfterMs : undefined;
+        const arrivedAtMs = host.clock.nowMs() - request.waitedMs;
+        writeRefusal({ request, requestId, arrivedAtMs }, response, createVerdict("notRun", refusal, undefined, retryMs));
+    }
+
     function createCall(head: RequestHead, request: HttpRequest, arrivedAtMs: number): DirectCall {
         if (!configuration.isReady()) refuse("notReady", undefined, retryAfterMs.notReady);
         // The limit may have become lower since the server began to read the body.
--- a/src/kernel/diagnostics.ts
+++ b/src/kernel/diagnostics.ts
@@ -13,6 +13,8 @@
     unauthenticated: { status: 401, title: "Not authenticated", text: "The key is missing or unknown." },
     badRequest: { status: 400, title: "Bad request", text: "The request cannot be read." },
     bodyTooLarge: { status: 413, title: "Body too large", text: "The body is larger than the limit." },
+    lengthRequired: { status: 411, title: "Length required", text: "The length of the body is not stated." },
+    noRoomForBody: { status: 503, title: "No room for the body", text: "The bodies of other requests take all the room of this process." },
     unknownModel: { status: 404, title: "Unknown model", text: "No route serves this model." },
     unknownPath: { status: 404, title: "Unknown path", text: "Nothing is served at this path." },
     methodNotAllowed: { status: 405, title: "Method not allowed", text: "This path does not take this method." },
--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -89,6 +89,8 @@
     readonly maxBodyBytes: number;
     /** A lower limit of a body that may change, such as that of the configuration. Asked for each request. */
     readonly getMaxBodyBytes?: () => number;
+    /** Without it, the server refuses such requests itself. */
+    readonly refuseBody?: BodyRefusalHandler;
     /** Certificate and key files. Plain HTTP is used without them. */
     readonly tls?: TlsFiles;
     /**
@@ -98,6 +100,12 @@
     readonly maxAcceptWaitMs?: number;
 }
 
+/** Why the body of a request is not read to its end. */
+export type BodyRefusal = "bodyTooLarge" | "noRoomForBody";
+
+/** Refuses a request without its body. The connection is closed after the response. */
+export type BodyRefusalHandler = (request: HttpRequest, refusal: BodyRefusal, response: HttpResponse) => void;
+
 /** Certificate and key files of a TLS server. */
 export interface TlsFiles {
     readonly certificateFile: string;
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -9,7 +9,17 @@
 import { flattenHeaders } from "./backendConnections.js";
 import type { CallCounts } from "./callCounts.js";
 import type { HeldBytes, HeldMessage } from "./heldBytes.js";
-import type { Clock, HttpHandler, HttpRequest, HttpResponse, Listener, Logger, ServerOptions } from "./host.js";
+import type {
+    BodyRefusal,
+    BodyRefusalHandler,
+    Clock,
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+    Listener,
+    Logger,
+    ServerOptions,
+} from "./host.js";
 import { countHttpCall, takeHttpCall } from "./httpCalls.js";
 import { createResponse } from "./httpResponse.js";
 import type { ProcessLimits } from "./processLimits.js";
@@ -21,12 +31,14 @@
 import type { RpcUpgrades } from "./rpcUpgrade.js";
 import { createServerConnections, pollNetwork } from "./serverConnections.js";
 import type { ServerConnection } from "./serverConnections.js";
+import { getErrorText } from "./tasks.js";
 
 const rpcBasePath = "/rpc/";
 const keepAliveTimeoutMs = 60_000;
 const headersTimeoutMs = 30_000;
 const closeGraceMs = 500;
 const maxHeaderSizeBytes = 16_384;
+const emptyBody = new Uint8Array();
 
 /** What is known of the arrival of a request when its head has been read. */
 interface Arrival {
@@ -55,7 +67,13 @@
     const { kind = "callers" } = options;
     const held = kind === "fleet" ? context.heldCalls : context.heldRequests;
     const maxBodyBytes = Math.min(options.maxBodyBytes, limits.maxBodyBytes[kind]);
-    const reading: BodyLimits = { held, getMaxBodyBytes: () => Math.min(maxBodyBytes, options.getMaxBodyBytes?.() ?? Infinity) };
+    const reading: BodyReading = {
+        held,
+        getMaxBodyBytes: () => Math.min(maxBodyBytes, options.getMaxBodyBytes?.() ?? Infinity),
+        refuse: options.refuseBody ?? ((_request, refusal, response) => refuseBody(response, refusal)),
+        clock,
+        log,
+    };
     const rpc = options.router === undefined ? undefined : createHTTPHandler({
         router: options.router,
         basePath: rpcBasePath,
@@ -88,11 +106,11 @@
             arrivedAtMs: connection.isNew ? connection.acceptedAtMs : readAtMs,
         };
         // A body is read while its request waits for an earlier one of its connection. A request without a body takes no more than its head then.
-        const early = hasBody(incoming) ? receive(reading, connection, incoming, outgoing) : undefined;
+        const begin = () => receive(reading, connection, arrival, incoming, outgoing);
+        const early = hasBody(incoming) ? begin() : undefined;
         connection.enqueue({
             response: outgoing,
-            start: () =>
-                void handle(options.handler, connection, early ?? receive(reading, connection, incoming, outgoing), clock, arrival),
+            start: () => void handle(options.handler, connection, early ?? begin()),
             cancel: () => early?.held.release(),
         });
     };
@@ -167,43 +185,79 @@
     return { cert: await fs.readFile(tls.certificateFile), key: await fs.readFile(tls.keyFile) };
 }
 
+/** How a server reads bodies. */
+interface BodyReading extends BodyLimits {
+    readonly refuse: BodyRefusalHandler;
+    readonly clock: Clock;
+    readonly log: Logger;
+}
+
 /** A request whose body is being read. */
 interface ReceivedRequest {
     readonly incoming: http.IncomingMessage;
     readonly outgoing: http.ServerResponse;
     readonly response: HttpResponse;
     readonly held: HeldMessage;
+    readonly disconnected: AbortController;
     readonly body: Promise<Uint8Array | undefined>;
+    /** Returns the request for its handler. */
+    complete(body: Uint8Array): HttpRequest;
+    refuse(refusal: BodyRefusal): void;
 }
 
 /** Begins to read the body of a request. */
 function receive(
-    { getMaxBodyBytes, held }: BodyLimits,
+    { getMaxBodyBytes, held, refuse, clock, log }: BodyReading,
     connection: ServerConnection,
+    arrival: Arrival,
     incoming: http.IncomingMessage,
     outgoing: http.ServerResponse,
 ): ReceivedRequest {
     const response = createResponse(outgoing);
+    const disconnected = new AbortController();
     const message = held.open(incoming.socket.remoteAddress ?? "", () => {
         body.stop();
-        connection.stopReading();
-        refuseBody(response, "overloaded");
+        request.refuse("noRoomForBody");
     });
     outgoing.once("close", message.release);
     const body = readBody(incoming, { maxBytes: getMaxBodyBytes(), held: message, onPart: connection.countPart });
     // The handler of a request that waits for an earlier one sees the error later.
     body.whole.catch(() => undefined);
-    return { incoming, outgoing, response, held: message, body: body.whole };
+    const request: ReceivedRequest = {
+        incoming,
+        outgoing,
+        response,
+        held: message,
+        disconnected,
+        body: body.whole,
+        complete: whole => ({
+            method: incoming.method ?? "GET",
+            path: incoming.url ?? "/",
+            headers: flattenHeaders(incoming.headers),
+            body: whole,
+            signal: disconnected.signal,
+            connectionAgeMs: arrival.connectionAgeMs,
+            waitedMs: clock.nowMs() - arrival.arrivedAtMs,
+        }),
+        refuse(refusal) {
+            connection.stopReading();
+            // What was not read of the body would be taken for the next request.
+            outgoing.shouldKeepAlive = false;
+            try {
+                refuse(request.complete(emptyBody), refusal, response);
+            }
+            catch (error) {
+                log.error("A request could not be refused.", { refusal, detail: getErrorText(error) });
+            }
+            // Its client may have left.
+            if (!response.hasStarted) response.abort();
+        },
+    };
+    return request;
 }
 
-async function handle(
-    handler: HttpHandler,
-    connection: ServerConnection,
-    { incoming, outgoing, response, held, body: reading }: ReceivedRequest,
-    clock: Clock,
-    arrival: Arrival,
-): Promise<void> {
-    const disconnected = new AbortController();
+async function handle(handler: HttpHandler, connection: ServerConnection, request: ReceivedRequest): Promise<void> {
+    const { incoming, outgoing, response, held, disconnected } = request;
     const { socket } = incoming;
     const onDisconnect = () => disconnected.abort();
     // The end of the client's data is known several event loop turns before the response is closed.
@@ -215,25 +269,13 @@
     // The client may have left while the request waited for an earlier one.
     if (socket.readableEnded) onDisconnect();
     try {
-        const body = await reading;
+        const body = await request.body;
         await pollNetwork();
         if (response.hasStarted) return;
-        if (body === undefined) {
-            connection.stopReading();
-            return refuseBody(response, "bodyTooLarge");
-        }
+        if (body === undefined) return request.refuse("bodyTooLarge");
         held.complete();
         connection.protect();
-        const request: HttpRequest = {
-            method: incoming.method ?? "GET",
-            path: incoming.url ?? "/",
-            headers: flattenHeaders(incoming.headers),
-            body,
-            signal: disconnected.signal,
-            connectionAgeMs: arrival.connectionAgeMs,
-            waitedMs: clock.nowMs() - arrival.arrivedAtMs,
-        };
-        await handler(request, response);
+        await handler(request.complete(body), response);
     }
     catch {
         // A refusal that was written while the body came is on its way.
--- a/src/kernel/requestBody.ts
+++ b/src/kernel/requestBody.ts
@@ -2,15 +2,13 @@
 import type { IncomingMessage } from "node:http";
 import VError from "verror";
 import { createByteCollector } from "./byteCollector.js";
+import { messages } from "./diagnostics.js";
 import type { HeldBytes, HeldMessage } from "./heldBytes.js";
-import type { HttpResponse } from "./host.js";
+import type { BodyRefusal, HttpResponse } from "./host.js";
+import { verdictHeaders } from "./verdict.js";
 
-/** Refusals of requests before their body is whole. */
-const bodyRefusals = {
-    bodyTooLarge: { status: 413, detail: "The body is larger than the limit.", headers: {} },
-    lengthRequired: { status: 411, detail: "The length of the body is not stated.", headers: {} },
-    overloaded: { status: 503, detail: "The bodies of other requests take all the room.", headers: { "retry-after": "1" } },
-} as const;
+/** Time after which the bodies of other requests may have made room. */
+export const noRoomRetryAfterMs = 1_000;
 
 /** Where the bodies of a server count, and how large one may be. */
 export interface BodyLimits {
@@ -27,10 +25,15 @@
 }
 
 /** Refuses a request whose body is not read to its end, so that the connection cannot be used again. */
-export function refuseBody(response: HttpResponse, code: keyof typeof bodyRefusals): void {
-    const { status, detail, headers } = bodyRefusals[code];
-    response.start(status, { "content-type": "application/problem+json", "connection": "close", "lovage-verdict": "not-run", ...headers });
-    void response.write(Buffer.from(JSON.stringify({ code, status, detail })));
+export function refuseBody(response: HttpResponse, code: BodyRefusal | "lengthRequired"): void {
+    const { status, text } = messages[code];
+    response.start(status, {
+        "content-type": "application/problem+json",
+        "connection": "close",
+        "lovage-verdict": verdictHeaders.notRun,
+        ...code === "noRoomForBody" ? { "retry-after": String(noRoomRetryAfterMs / 1_000) } : {},
+    });
+    void response.write(Buffer.from(JSON.stringify({ code, status, detail: text })));
     response.end();
 }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -396,6 +396,7 @@
         handler: gateway.handle,
         maxBodyBytes,
         getMaxBodyBytes: gateway.getMaxBodyBytes,
+        refuseBody: gateway.refuseBody,
         maxAcceptWaitMs,
     });
     const listeners = [
--- a/test/connectionLimits.test.ts
+++ b/test/connectionLimits.test.ts
@@ -199,6 +199,42 @@
     await server.listener.close();
 });
 
+test("a server may refuse bodies itself, which learns the head of the request, and the connection is closed", async t => {
+    const refused: (readonly [string, string | undefined])[] = [];
+    const server = await startServer(() => Promise.resolve(), undefined, {
+        maxBodyBytes: 10,
+        refuseBody(request, refusal, response) {
+            refused.push([refusal, request.headers["x-id"]]);
+            response.start(413, { "content-length": "0" });
+            response.end();
+        },
+    });
+    const client = await connect(server);
+    client.socket.write("POST /a HTTP/1.1\r\nHost: a\r\nX-Id: 7\r\nContent-Length: 11\r\n\r\n");
+    await client.closed;
+    t.match(client.getText(), /^HTTP\/1.1 413 [^]*connection: close/i);
+    t.same(refused, [["bodyTooLarge", "7"]]);
+    await server.listener.close();
+});
+
+test("a request whose refusal fails is ended, and the server goes on", async t => {
+    const server = await startServer(answerPath, undefined, {
+        maxBodyBytes: 10,
+        refuseBody() {
+            throw new Error("failed on purpose");
+        },
+    });
+    const client = await connect(server);
+    client.socket.write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n");
+    await client.closed;
+    const next = await connect(server);
+    next.socket.write("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    await waitFor(() => next.getText().includes("/next"));
+    next.socket.destroy();
+    t.equal(client.getText(), "");
+    await server.listener.close();
+});
+
 /** Longer than a connection has for its next request. */
 const longIdleMs = 1_200;
 /** Descriptors for a few connections of callers. */
