Count a call with its message until its own answer

A message with two calls was refused with two answers, each of which ended one of the calls that were counted, so any number could wait. A call that waits kept its input, up to 2.5 MiB with 160 MB, and counted 4 KiB. Messages that want no answer left their ids in a list that nothing counted until the connection was closed.

Change: a call counts its message and 4 KiB until an answer with its id. What is not understood counts until the connection is closed. Messages with several calls are refused as a whole.

Test first: "a call without an answer holds its input" and "unanswered calls count as before after a message with several calls" of unansweredCalls.test.ts wait until their timeout without the change; the two others of that kind, and "messages that ask for no answer hold nothing", pass on the code before and guard it. The calls of that file have ids of their own now, as those of our processes have.

--- a/src/kernel/rpcUpgrade.ts
+++ b/src/kernel/rpcUpgrade.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import VError from "verror";
 import { WebSocket, WebSocketServer } from "ws";
 import { failureDomainHeader, getCallName } from "./callCounts.js";
 import type { CallCounts, CountedConnection } from "./callCounts.js";
@@ -55,9 +56,6 @@
 /** A busy process may read many messages in a turn of its event loop after a pause. */
 const messagesPerPart = 8;
 
-/** Processes of the fleet send each call in a message of its own. */
-const maxCallsPerMessage = 1;
-
 /** Accepts WebSocket connections from callers that present the fleet secret. */
 export function acceptRpcUpgrades(
     server: Server,
@@ -78,7 +76,6 @@
             router,
             onError: () => undefined,
             experimental_encoder: createCountingEncoder(counted, calls),
-            maxBatchSize: maxCallsPerMessage,
         });
         handle(connection, request);
     });
@@ -115,32 +112,42 @@
     });
 }
 
-/** JSON in text frames, which the adapter uses without an encoder. */
+/**
+ * JSON in text frames, which the adapter uses without an encoder. Processes of the fleet send each call in a message of its own, with an id of
+ * its own. What else a peer sends counts as a call without an answer until the connection is closed.
+ */
 function createCountingEncoder(counted: CountedConnection, calls: UnansweredCalls): Encoder {
-    /** Names of the calls without an answer. */
-    const names = new Map<unknown, string>();
+    const unanswered = new Map<unknown, UnansweredCall>();
     return {
         encode(answer) {
             const text = JSON.stringify(answer);
             const { id } = answer as { readonly id: unknown; };
-            counted.countAnswer(names.get(id) ?? "unknown", Buffer.byteLength(text));
-            names.delete(id);
-            // The answer to a message that is not understood names no call.
-            if (id !== null) calls.end();
+            const call = unanswered.get(id);
+            unanswered.delete(id);
+            counted.countAnswer(call?.name ?? "unknown", Buffer.byteLength(text));
+            calls.end(call?.messageBytes);
             return text;
         },
         decode(data) {
             if (typeof data !== "string") throw new Error("a call must be in a text frame");
+            calls.begin(data.length);
             const call = JSON.parse(data) as CallMessage;
-            if (hasAnswer(call)) calls.begin();
+            if (Array.isArray(call)) throw new VError("a message must not be a batch of calls");
             const name = getCallName(call.params?.path ?? "unknown", call.params?.input);
-            names.set(call.id, name);
             counted.countCall(name, Buffer.byteLength(data));
+            if (hasAnswer(call)) unanswered.set(call.id, { name, messageBytes: data.length });
+            else calls.end(data.length);
             return call;
         },
     };
 }
 
+/** A call that is being handled. */
+interface UnansweredCall {
+    readonly name: string;
+    readonly messageBytes: number;
+}
+
 /** The part of a call's message that identifies it. The adapter checks the message. */
 interface CallMessage {
     readonly id?: unknown;
--- a/src/kernel/unansweredCalls.ts
+++ b/src/kernel/unansweredCalls.ts
@@ -5,9 +5,9 @@
 
 /** The calls of one connection. */
 export interface UnansweredCalls {
-    begin(): void;
-    /** One of the calls has its answer, which is sent next. */
-    end(): void;
+    begin(messageBytes: number): void;
+    /** An answer is sent next. The size is that of the message of its call, and undefined if it answers none. */
+    end(messageBytes: number | undefined): void;
 }
 
 /** What a call takes beside its message until it has its answer. */
@@ -17,7 +17,7 @@
 export function countUnansweredCalls(held: HeldBytes, connection: WebSocket, request: IncomingMessage): UnansweredCalls {
     const message = held.open(request.socket.remoteAddress ?? "", () => connection.terminate());
     let unfinishedBytes = 0;
-    let unansweredCalls = 0;
+    let unansweredBytes = 0;
     request.socket.on("data", (part: Buffer) => {
         unfinishedBytes += part.length;
         update();
@@ -27,17 +27,17 @@
     });
     connection.once("close", message.release);
     return {
-        begin() {
-            unansweredCalls++;
+        begin(messageBytes) {
+            unansweredBytes += messageBytes + callBytes;
             update();
         },
-        end() {
-            unansweredCalls = Math.max(0, unansweredCalls - 1);
+        end(messageBytes) {
+            if (messageBytes !== undefined) unansweredBytes -= messageBytes + callBytes;
             update();
         },
     };
 
     function update(): void {
-        message.setSize(unfinishedBytes + unansweredCalls * callBytes + connection.bufferedAmount);
+        message.setSize(unfinishedBytes + unansweredBytes + connection.bufferedAmount);
     }
 }
--- a/test/crowd/calls.test.ts
+++ b/test/crowd/calls.test.ts
@@ -38,8 +38,8 @@
 }
 
 /** Creates a call with an input of this size. No process has its procedure. */
-function createCall(inputBytes: number): Buffer {
-    return Buffer.from(JSON.stringify({ id: 1, method: "query", params: { path: "none", input: "i".repeat(inputBytes) } }));
+function createCall(inputBytes: number, id = 1): Buffer {
+    return Buffer.from(JSON.stringify({ id, method: "query", params: { path: "none", input: "i".repeat(inputBytes) } }));
 }
 
 function createBatch(): Buffer {
@@ -56,6 +56,13 @@
         return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts }) });
     });
 
+    test(`many small calls with ids of their own, their answers unread, to ${to}`, t => {
+        const sizeBytes = createFrame(wholeText, createCall(0)).length;
+        const ids = Array.from({ length: Math.ceil(partBytes / sizeBytes) }, (_, index) => index);
+        const part = Buffer.concat(ids.map(id => createFrame(wholeText, createCall(0, id))));
+        return checkCrowd(t, { to, connections, limits, createSending: () => ({ head: upgradeHead, part, parts }) });
+    });
+
     for (const inflatedBytes of inflatedSizesBytes) {
         test(`calls of ${inflatedBytes} bytes once they are inflated, to ${to}`, t => {
             const part = createCompressedFrame(createCall(inflatedBytes));
--- a/test/unansweredCalls.test.ts
+++ b/test/unansweredCalls.test.ts
@@ -49,8 +49,11 @@
     return { socket, answers };
 }
 
-function createCall(path: string, input?: number): string {
-    return JSON.stringify({ id: 1, method: "query", params: { path, input } });
+let lastId = 0;
+
+function createCall(path: string, input?: unknown): string {
+    lastId++;
+    return JSON.stringify({ id: lastId, method: "query", params: { path, input } });
 }
 
 async function waitFor(check: () => boolean): Promise<void> {
@@ -71,6 +74,56 @@
     await listener.close();
 });
 
+test("a call without an answer holds its input", async t => {
+    const { listener, waiting } = await startServer();
+    const { socket } = await connect(listener.address);
+    const closed = once(socket, "close");
+    const input = "i".repeat(500_000);
+    // The room for calls is 10 MiB.
+    for (let number = 0; number < 30; number++) socket.send(createCall("held", input));
+    await closed;
+    t.ok(waiting.length < 30, `${waiting.length} were handled`);
+    t.equal(listener.held.getEndedCount(), 1);
+    for (const release of waiting) release();
+    await listener.close();
+});
+
+test("messages that ask for no answer hold nothing", async t => {
+    const { listener, client } = await startServer();
+    const { socket } = await connect(listener.address);
+    const stop = JSON.stringify({ id: "s".repeat(100_000), method: "subscription.stop" });
+    for (let number = 0; number < 200; number++) socket.send(stop);
+    socket.send(createCall("sized", 1));
+    await once(socket, "message");
+    t.ok(listener.held.getTotalBytes() < 1_000_000, `${listener.held.getTotalBytes()} bytes`);
+    t.equal(await client.sized.query(3), "aaa");
+    socket.terminate();
+    await listener.close();
+});
+
+for (
+    const [name, message] of [
+        ["a message with several calls", `[${createCall("sized", 1)},${createCall("sized", 1)}]`],
+        ["a message that is not understood", "{"],
+        ["a call of a kind that no process serves", JSON.stringify({ id: 1, method: "subscription", params: { path: "sized", input: 1 } })],
+    ] as const
+) {
+    test(`unanswered calls count as before after ${name}`, async t => {
+        const { listener, waiting } = await startServer();
+        const { socket } = await connect(listener.address);
+        const closed = once(socket, "close");
+        for (let number = 0; number < tooManyCalls && socket.readyState === WebSocket.OPEN; number++) {
+            socket.send(createCall("held"));
+            socket.send(message);
+            if (number % manyCalls === 0) await new Promise(resolve => setTimeout(resolve, 50));
+        }
+        await closed;
+        t.equal(listener.held.getEndedCount(), 1);
+        for (const release of waiting) release();
+        await listener.close();
+    });
+}
+
 test("a connection whose answers are not read is closed, and another process is answered", async t => {
     const { listener, client } = await startServer();
     const { socket } = await connect(listener.address);
