Tell which limit was met, and by whom

Read as the person on call would: one line stood for requests and for calls between processes, and the room for calls had no metric. A message larger than a connection may take closed it without a line, which might be a change of the configuration that no longer reaches a control VM. Nothing told of clients that are read one at a time.

Change: what is held of requests and of calls logs under names of its own, and calls have two metrics at every role. A connection for calls that fails is logged with its sender, and so are connections that wait for a turn of their own, each at most once a second. The three places that limit such lines share one module.

Tests: "connections that wait for a turn of their own are logged once a second", "a message that is too large closes its connection and is logged with its sender"; the lines did not exist before.

--- a/src/kernel/host.ts
+++ b/src/kernel/host.ts
@@ -186,6 +186,8 @@
 export interface Network {
     /** Counts of the calls to and from other processes. */
     readonly callCounts: CallCounts;
+    /** What calls of other processes hold. */
+    readonly heldCalls: Pick<HeldBytes, "getTotalBytes" | "getEndedCount">;
     serve(options: ServerOptions): Promise<Listener>;
     request(address: Address, request: OutgoingRequest): Promise<IncomingResponse>;
     /** Returns a tRPC link to the router of another process, through a relay if one is given. */
--- a/src/kernel/hostNode.ts
+++ b/src/kernel/hostNode.ts
@@ -89,12 +89,18 @@
         log: serverLog,
         counts,
         limits,
-        pacer: createReadPacer({ clock: nodeClock, timers: nodeTimers, scheduleTurnEnd: callback => void setImmediate(callback) }),
-        heldRequests: createHeldBytes(limits.maxRequestBytes, serverLog),
-        heldCalls: createHeldBytes(limits.maxCallBytes, serverLog),
+        pacer: createReadPacer({
+            clock: nodeClock,
+            timers: nodeTimers,
+            log: serverLog,
+            scheduleTurnEnd: callback => void setImmediate(callback),
+        }),
+        heldRequests: createHeldBytes(limits.maxRequestBytes, createLogger("heldRequests")),
+        heldCalls: createHeldBytes(limits.maxCallBytes, createLogger("heldCalls")),
     };
     return {
         callCounts: counts,
+        heldCalls: serverContext.heldCalls,
         serve: options => serve(options, serverContext),
         async request(address, request): Promise<IncomingResponse> {
             const sending = watchSending(request.signal);
--- a/src/kernel/httpServer.ts
+++ b/src/kernel/httpServer.ts
@@ -22,6 +22,7 @@
 } from "./host.js";
 import { countHttpCall, takeHttpCall } from "./httpCalls.js";
 import { createResponse } from "./httpResponse.js";
+import { createLimitedLog } from "./limitedLog.js";
 import type { ProcessLimits } from "./processLimits.js";
 import type { ReadPacer } from "./readPacer.js";
 import { hasBody, readBody, refuseBody } from "./requestBody.js";
@@ -123,6 +124,7 @@
             maxPayloadBytes: Math.min(options.maxBodyBytes, limits.maxSocketMessageBytes),
             counts,
             held,
+            log: createLimitedLog(log, clock),
             onPart: socket => connections.get(socket)?.countPart(),
         });
     server.on("connection", connections.add);
--- a/src/kernel/readPacer.ts
+++ b/src/kernel/readPacer.ts
@@ -6,7 +6,8 @@
  * time, so that the process is not saturated by them.
  */
 import type { Socket } from "node:net";
-import type { Clock, Timers } from "./host.js";
+import type { Clock, Logger, Timers } from "./host.js";
+import { createLimitedLog } from "./limitedLog.js";
 
 /** Paces the connections of a process. */
 export interface ReadPacer {
@@ -37,6 +38,7 @@
 export interface ReadPacerHost {
     readonly clock: Pick<Clock, "nowMs">;
     readonly timers: Timers;
+    readonly log: Pick<Logger, "warn">;
     /** Runs a callback after the events of the current turn of the event loop. */
     scheduleTurnEnd(callback: () => void): void;
 }
@@ -49,7 +51,8 @@
 export const maxFullTurnShare = 0.5;
 
 /** Creates a pacer without connections. */
-export function createReadPacer({ clock, timers, scheduleTurnEnd }: ReadPacerHost): ReadPacer {
+export function createReadPacer({ clock, timers, log, scheduleTurnEnd }: ReadPacerHost): ReadPacer {
+    const limitedLog = createLimitedLog(log, clock);
     const connections = new Set<Connection>();
     /** Connections with parts in this turn. */
     const active = new Set<Connection>();
@@ -123,7 +126,18 @@
         for (const connection of connections) {
             if (connection.isPaced && !waiting.has(connection)) setPaced(connection, false);
         }
-        if (waiting.size > 0) scheduleEnd();
+        if (waiting.size === 0) return;
+        logWaiting();
+        scheduleEnd();
+    }
+
+    function logWaiting(): void {
+        const [first] = waiting;
+        const sender = first?.socket.remoteAddress;
+        limitedLog.warn("Connections are read one at a time because they send very many small parts.", {
+            sender,
+            connections: waiting.size,
+        });
     }
 
     /** Must not be called between a turn that was full and the next one, in which all others are read. */
--- a/src/kernel/rpcUpgrade.ts
+++ b/src/kernel/rpcUpgrade.ts
@@ -11,6 +11,7 @@
 import type { CallCounts, CountedConnection } from "./callCounts.js";
 import { fleetSecretHeader, isSameSecret } from "./fleetSecret.js";
 import type { HeldBytes } from "./heldBytes.js";
+import type { LimitedLog } from "./limitedLog.js";
 import { countUnansweredCalls } from "./unansweredCalls.js";
 import type { UnansweredCalls } from "./unansweredCalls.js";
 
@@ -49,6 +50,7 @@
     readonly counts: CallCounts;
     /** Counts what the connections hold. */
     readonly held: HeldBytes;
+    readonly log: LimitedLog;
     /** Called for each part of what was read, which is a number of messages. */
     onPart(socket: Socket): void;
 }
@@ -69,6 +71,11 @@
         counted.setPeerDomain(request.headers[failureDomainHeader] as string | undefined);
         connection.once("close", counted.close);
         const calls = countUnansweredCalls(options.held, connection, request);
+        // A message that is too large, for example. Its connection is closed.
+        connection.on(
+            "error",
+            error => options.log.warn("A connection for calls failed.", { sender: request.socket.remoteAddress, detail: error.message }),
+        );
         countParts(connection, () => options.onPart(request.socket));
         // Without `onError`, the adapter writes to the console. The caller gets the error as the answer.
         const handle = getWSConnectionHandler({
--- a/src/kernel/serverConnections.ts
+++ b/src/kernel/serverConnections.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import type { HeldBytes, HeldMessage } from "./heldBytes.js";
 import type { Clock, Logger } from "./host.js";
+import { createLimitedLog } from "./limitedLog.js";
 import type { PacedConnection, ReadPacer } from "./readPacer.js";
 
 /** Options of the connections of a server. */
@@ -68,7 +69,6 @@
 
 /** Time that a connection has for its next request before it is closed to make room for another one. */
 const minIdleMs = 1_000;
-const logIntervalMs = 1_000;
 /** What a connection without a request takes: its socket, its parser, and a head that is not complete. */
 const connectionBytes = 8 * 1024;
 /** What a request takes whose head was read and which is not handled yet. */
@@ -86,13 +86,13 @@
 
 /** Creates the connections of a server that has none yet. */
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
-    const { held, pacer, clock, log } = options;
+    const { held, pacer, clock } = options;
+    const log = createLimitedLog(options.log, clock);
     const bySocket = new Map<Socket, Connection>();
     /** Connections of each sender, those first that were idle for longest. */
     const bySender = new Map<string, Set<Connection>>();
     let connectionCount = 0;
     let refusedCount = 0;
-    let loggedAtMs = -Infinity;
     return {
         add(socket) {
             if (connectionCount >= options.maxConnections && !closeOne(clock.nowMs())) {
@@ -179,9 +179,6 @@
 
     function countRefused(sender: string | undefined, refusal: keyof typeof refusals): void {
         refusedCount++;
-        const nowMs = clock.nowMs();
-        if (nowMs - loggedAtMs < logIntervalMs) return;
-        loggedAtMs = nowMs;
         log.warn(refusals[refusal], { sender, connections: connectionCount, closed: refusedCount });
     }
 
--- a/src/processMetrics.ts
+++ b/src/processMetrics.ts
@@ -4,7 +4,7 @@
 import type { Gateway } from "./entry/direct/gateway.js";
 import type { Entry } from "./entry/entry.js";
 import type { Capacity } from "./kernel/capacity.js";
-import type { Listener } from "./kernel/host.js";
+import type { Listener, Network } from "./kernel/host.js";
 import { readHistogram } from "./kernel/metrics.js";
 import type { MetricReading } from "./kernel/metrics.js";
 
@@ -147,6 +147,19 @@
     ];
 }
 
+/** Reads the metrics of the calls between a process and others. */
+export function readCallMetrics({ callCounts, heldCalls }: Network): readonly MetricReading[] {
+    return [
+        ...callCounts.readMetrics(),
+        { name: "lovage_process_held_call_bytes", help: "bytes held of calls of other processes", value: heldCalls.getTotalBytes() },
+        {
+            name: "lovage_process_ended_calls",
+            help: "calls and connections for calls that were ended because all together held too many bytes",
+            value: heldCalls.getEndedCount(),
+        },
+    ];
+}
+
 /** Reads how much of its time a process is busy. */
 export function readCapacityMetrics(capacity: Capacity): readonly MetricReading[] {
     return [
--- a/src/standins/fakeHost.ts
+++ b/src/standins/fakeHost.ts
@@ -243,6 +243,7 @@
     function createNetwork(ip: string, owner: FakeProcess): Network {
         return {
             callCounts: createCallCounts(),
+            heldCalls: { getTotalBytes: () => 0, getEndedCount: () => 0 },
             async serve(options) {
                 servers.set(options.address, { options, owner });
                 return {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -36,6 +36,7 @@
 import type { Address, BackendServerKind, FailureDomainName, VmName } from "./kernel/types.js";
 import {
     readAgentMetrics,
+    readCallMetrics,
     readCapacityMetrics,
     readControlMetrics,
     readEntryMetrics,
@@ -141,7 +142,7 @@
     });
     const handler = createProcessHandler({
         isReady: localControl.isReady,
-        readMetrics: () => [...readControlMetrics(localControl), ...host.network.callCounts.readMetrics()],
+        readMetrics: () => [...readControlMetrics(localControl), ...readCallMetrics(host.network)],
         handler: administration,
     });
     const fleetListener = await host.network.serve({
@@ -183,7 +184,7 @@
                 : [
                     ...readEntryMetrics(forwardReference.entry),
                     ...readListenerMetrics(forwardReference.clientListener),
-                    ...host.network.callCounts.readMetrics(),
+                    ...readCallMetrics(host.network),
                 ],
         handler: (request, response) => forwardReference.entry!.handle(request, response),
     });
@@ -261,8 +262,7 @@
     void runPeriodically(host.timers, memberUpdateIntervalMs, memberUpdates.signal, async () => updateMembers(), () => undefined);
     const handler = createProcessHandler({
         isReady: localControl.isReady,
-        readMetrics:
-            () => [...readControlMetrics(localControl), ...readCapacityMetrics(capacity), ...host.network.callCounts.readMetrics()],
+        readMetrics: () => [...readControlMetrics(localControl), ...readCapacityMetrics(capacity), ...readCallMetrics(host.network)],
         handler: rejectUnauthorized,
     });
     const listeners = [
@@ -386,8 +386,7 @@
     });
     const endpoints = createProcessHandler({
         isReady: gateway.isReady,
-        readMetrics:
-            () => [...readGatewayMetrics(gateway), ...readListenerMetrics(clientListener), ...host.network.callCounts.readMetrics()],
+        readMetrics: () => [...readGatewayMetrics(gateway), ...readListenerMetrics(clientListener), ...readCallMetrics(host.network)],
         handler: rejectUnauthorized,
     });
     clientListener = await host.network.serve({
@@ -437,7 +436,7 @@
     const { fleetListen, fleetSecret } = settings;
     const fleetPort = Number(fleetListen.slice(fleetListen.lastIndexOf(":") + 1));
     const relay = createRelay(host, { fleetPort, isAuthentic: request => isFromFleet(request, fleetSecret) });
-    const handler = createProcessHandler({ isReady: () => true, readMetrics: host.network.callCounts.readMetrics, handler: relay });
+    const handler = createProcessHandler({ isReady: () => true, readMetrics: () => readCallMetrics(host.network), handler: relay });
     return { listeners: [await host.network.serve({ address: fleetListen, kind: "fleet", handler, maxBodyBytes: maxFleetBodyBytes })] };
 }
 
@@ -465,7 +464,7 @@
     });
     const handler = createProcessHandler({
         isReady: agent.isReady,
-        readMetrics: () => [...readAgentMetrics(agent), ...host.network.callCounts.readMetrics()],
+        readMetrics: () => [...readAgentMetrics(agent), ...readCallMetrics(host.network)],
         handler: agent.handle,
     });
     const listener = await host.network.serve({ address: settings.listen, kind: "fleet", handler, router: agent.router, maxBodyBytes });
--- a/test/readPacer.test.ts
+++ b/test/readPacer.test.ts
@@ -2,7 +2,9 @@
 import { EventEmitter } from "node:events";
 import type { Socket } from "node:net";
 import { test } from "tap";
+import type { LogFields, Logger } from "../src/kernel/host.js";
 import { createReadPacer, maxPartsPerTurn } from "../src/kernel/readPacer.js";
+import { createSilentLogger } from "../src/standins/silentLogger.js";
 
 /** A socket that knows whether it is read. */
 class FakeSocket extends EventEmitter {
@@ -23,7 +25,7 @@
 const partMs = 0.004;
 
 /** Plays turns of an event loop that reads its sockets always in the same order. */
-function createLoop() {
+function createLoop(log: Pick<Logger, "warn"> = createSilentLogger()) {
     const turnEnds: (() => void)[] = [];
     const timers = new Set<{ readonly dueAtMs: number; readonly callback: () => void; }>();
     let nowMs = 0;
@@ -36,6 +38,7 @@
                 return () => void timers.delete(timer);
             },
         },
+        log,
         scheduleTurnEnd: callback => void turnEnds.push(callback),
     });
     const connections: { readonly socket: FakeSocket; readonly read: () => number; readonly unreadTurns: number[]; }[] = [];
@@ -167,3 +170,17 @@
     }
     t.end();
 });
+
+test("connections that wait for a turn of their own are logged once a second", t => {
+    const lines: (LogFields | undefined)[] = [];
+    const loop = createLoop({ warn: (_message, fields) => void lines.push(fields) });
+    loop.add(1);
+    for (let turn = 0; turn < 100; turn++) loop.playTurn();
+    t.same(lines, [], "not for ordinary ones");
+    for (let number = 0; number < 10; number++) loop.add(heavyParts);
+    const fromMs = loop.getNowMs();
+    while (loop.getNowMs() < fromMs + 5_000) loop.playTurn();
+    t.ok(lines.length >= 4 && lines.length <= 6, `${lines.length} lines in 5 s`);
+    t.ok(lines.every(fields => fields!["connections"] as number > 0));
+    t.end();
+});
--- a/test/unansweredCalls.test.ts
+++ b/test/unansweredCalls.test.ts
@@ -5,6 +5,7 @@
 import { WebSocket } from "ws";
 import { parseAddress } from "../src/kernel/address.js";
 import { fleetSecretHeader } from "../src/kernel/fleetSecret.js";
+import type { LogFields } from "../src/kernel/host.js";
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { defaultAllowance } from "../src/kernel/processLimits.js";
 import { createRpcClients, rpc } from "../src/kernel/rpc.js";
@@ -17,7 +18,7 @@
 const manyCalls = 500;
 
 /** Serves calls that are answered when the test releases them, with as many bytes as they ask for. */
-async function startServer() {
+async function startServer(log = createSilentLogger()) {
     const waiting: (() => void)[] = [];
     const router = rpc.router({
         held: rpc.procedure.query(() => new Promise<string>(resolve => waiting.push(() => resolve("released")))),
@@ -25,7 +26,7 @@
     });
     const host = createNodeHost({
         fleetSecret: secret,
-        createLogger: createSilentLogger,
+        createLogger: () => log,
         allowance: { ...defaultAllowance, memoryMb: 160 },
     });
     const listener = await host.network.serve({
@@ -187,3 +188,17 @@
     t.equal(waiting.length, 0);
     await listener.close();
 });
+
+test("a message that is too large closes its connection and is logged with its sender", async t => {
+    const lines: string[] = [];
+    const log = {
+        ...createSilentLogger(),
+        warn: (message: string, fields?: LogFields) => void lines.push(`${message} ${String(fields?.["sender"])}`),
+    };
+    const { listener } = await startServer(log);
+    const { socket } = await connect(listener.address);
+    socket.send(createCall("sized", "i".repeat(1_000_000)));
+    await once(socket, "close");
+    t.same(lines, ["A connection for calls failed. 127.0.0.9"]);
+    await listener.close();
+});
