Tests with crowds whose bodies have many sizes at once

400 connections to each of the six addresses, bodies of 1 byte to 4 MiB less one, half of them announced one byte longer than what is sent, half in one chunk without the last one; 160 MB.

--- a/test/crowd/bodies.test.ts
+++ b/test/crowd/bodies.test.ts
@@ -62,6 +62,23 @@
     test(`bodies without end, to ${to}`, t => checkCrowd(t, { to, connections, limits, createSending: sendWithoutEnd }));
 }
 
+/** Sizes around those at which the code changes its ways, up to the limit of a body. */
+const mixedSizesBytes = [1, 1_000, 16 * 1024 - 1, 16 * 1024 + 1, 64 * 1024 - 1, 64 * 1024 + 1, 300_000, 1024 * 1024, maxBodyBytes - 1];
+const mixedConnections = 400;
+
+/** Announces bodies that are one byte longer than what is sent, or sends them in one chunk without the last one. */
+function sendMixedSizes({ path }: Pick<Target, "path">): readonly Sending[] {
+    return mixedSizesBytes.flatMap(sizeBytes => [
+        { head: createHead(path, `Content-Length: ${sizeBytes + 1}`), part: Buffer.alloc(sizeBytes, "b"), parts: 1 },
+        { head: createHead(path, "Transfer-Encoding: chunked"), part: createChunk(sizeBytes), parts: 1 },
+    ]);
+}
+
+for (const to of allTargets) {
+    test(`bodies of many sizes that stop short of their end, to ${to}`, t =>
+        checkCrowd(t, { to, connections: mixedConnections, limits, createSending: sendMixedSizes }));
+}
+
 for (const to of ["callers", "control", "controlFleet"] as const) {
     test(`many bodies just under 64 KiB that stop short of their end, to ${to}`, t =>
         checkCrowd(t, {
--- a/test/crowd/crowdCheck.ts
+++ b/test/crowd/crowdCheck.ts
@@ -9,7 +9,8 @@
 export interface CrowdPlan {
     readonly to: TargetName;
     readonly connections: number;
-    readonly createSending: (target: Target) => Sending;
+    /** Returns what each client sends. Of several, the clients take one after another. */
+    readonly createSending: (target: Target) => Sending | readonly Sending[];
     readonly limits?: Partial<ProcessLimits>;
     /** Services with one backend server each. Default: 1. */
     readonly serviceCount?: number;
@@ -22,7 +23,7 @@
 export async function checkCrowd(t: Test, plan: CrowdPlan): Promise<void> {
     const fleet = await startCrowdFleet(plan.limits, plan.serviceCount);
     const target = fleet.targets[plan.to];
-    const crowd = sendCrowd(target, plan.connections, plan.createSending(target));
+    const crowd = sendCrowd(target, plan.connections, [plan.createSending(target)].flat());
     try {
         await crowd.settled();
         t.ok(await fleet.isServed(plan.to), `an ordinary request is answered at ${plan.to}`);
--- a/test/crowd/crowdClients.ts
+++ b/test/crowd/crowdClients.ts
@@ -31,8 +31,8 @@
 const connectBatch = 100;
 const reconnectDelayMs = 20;
 
-/** Opens the connections of a crowd and sends on all of them at once. */
-export function sendCrowd(target: Target, connections: number, sending: Sending): Crowd {
+/** Opens the connections of a crowd and sends on all of them at once. The connections take the sendings in turn. */
+export function sendCrowd(target: Target, connections: number, sendings: readonly Sending[]): Crowd {
     const sockets = new Set<net.Socket>();
     let openedCount = 0;
     let endedBytes = 0;
@@ -57,11 +57,11 @@
 
     function openBatch(): void {
         const until = Math.min(connections, openedCount + connectBatch);
-        for (; openedCount < until; openedCount++) open();
+        for (; openedCount < until; openedCount++) open(sendings[openedCount % sendings.length]!);
         if (openedCount < connections && !hasLeft) setTimeout(openBatch, pollMs);
     }
 
-    function open(): void {
+    function open(sending: Sending): void {
         if (hasLeft) return;
         const socket = net.connect({ host: target.host, port: target.port, allowHalfOpen: true });
         sockets.add(socket);
@@ -78,7 +78,7 @@
         socket.on("close", () => {
             sockets.delete(socket);
             endedBytes += socket.bytesWritten;
-            if (sending.isRepeated === true) setTimeout(open, reconnectDelayMs);
+            if (sending.isRepeated === true) setTimeout(() => open(sending), reconnectDelayMs);
         });
         socket.once("connect", () => {
             socket.write(sending.head);
