Record the routes in force at the start of an entry as well

Cause: the first configuration was announced within the entry before the node counted as ready, gateway.ts passed routes to streamOrigins only when it was ready, and nothing announced them again. Without a history of routes no origin of a stream can be decided. With all entries restarted, each stream was told to control instead, for as long as they ran. Change: the node is ready before its first configuration is activated. That set is as new as the version that a quorum has confirmed, which is what the condition was there for; an assertion holds the order. The gateway records the routes of each configuration. Why it works: a start now feeds the history as a change does. Related paths looked at: the histories of versions, control's routes, cold servers, server limits; each is fed by each answer or by the replay of the log.

--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -293,7 +293,7 @@
         stateChanged.notify();
         const objects = configuration.getObjects();
         routes = createRouteTable(objects.list("httpRoute"));
-        if (configuration.isReady()) streamOrigins.observeRoutes(objects.list("httpRoute"));
+        streamOrigins.observeRoutes(objects.list("httpRoute"));
         limits = objects.list("ingressLimits")[0];
         coldServers.setPools(objects.list("backendServerPool"));
         if (coldServers.hasRates()) coldReport.start(stopController.signal);
--- a/src/entry/nodeConfiguration.ts
+++ b/src/entry/nodeConfiguration.ts
@@ -46,7 +46,10 @@
     readonly onRecall: (budgets: readonly string[]) => void;
     /** Called with the addresses of the control VMs that are voters. */
     readonly onVoterAddresses?: (addresses: readonly string[]) => void;
-    /** Called after each change of the active configuration or of the quarantine list. */
+    /**
+     * Called after each change of the active configuration or of the quarantine list, also for the first configuration. The node is ready by
+     * then, because no configuration is activated before a quorum has confirmed it.
+     */
     readonly onChange?: () => void;
     /**
      * Called when this entry learns that the evacuation of failure domains has ended, before requests can be sent to their backend servers.
@@ -141,8 +144,8 @@
         if (confirmed.kind !== "done") return false;
         const { version: minVersion, evacuationsIndex: minEvacuationsIndex = 0 } = confirmed.result;
         const isOutdated = minVersion > version || minEvacuationsIndex > evacuations.changeIndex;
-        if (isOutdated && !await readSet(minVersion, minEvacuationsIndex)) return false;
-        hasConfirmedConfiguration = true;
+        if (!isOutdated) hasConfirmedConfiguration = true;
+        else if (!await readSet(minVersion, minEvacuationsIndex)) return false;
         needsFullRead = false;
         return true;
     }
@@ -160,6 +163,7 @@
         recordContact(reply, sentAtMs);
         options.onVoterAddresses?.(reply.members);
         revision = reply.revision;
+        hasConfirmedConfiguration = true;
         activate(set);
         return true;
     }
@@ -222,6 +226,7 @@
 
     // A control VM that lags behind may return an older configuration, which is ignored.
     function activate(view: ConfigurationView): void {
+        assert(hasConfirmedConfiguration, "a quorum has confirmed a configuration before one is activated");
         if (view.version < version) return;
         if (view.version > version) activateObjects(view);
         suspicions = new Map(view.quarantined.map(item => [item.fingerprint, item]));
--- a/test/streamPools.test.ts
+++ b/test/streamPools.test.ts
@@ -198,16 +198,60 @@
     t.ok(fleet.simulation.nowMs() - sentAtMs < 400, `${fleet.simulation.nowMs() - sentAtMs} ms`);
 });
 
-test("a route with one pool and one version tells control nothing, also after a change of other routes and of weights", async t => {
-    const fleet = await createTwoPools(310, { service: "models" });
+/** Starts to count the messages that tell control where streams began. Returns the count so far. */
+function countRecordedOrigins(fleet: DirectFleet): () => number {
     let told = 0;
     for (const api of fleet.controls.map(control => control.process!.part.api)) {
         const { recordOrigins } = api;
         Object.assign(api, { recordOrigins: (message: Parameters<typeof recordOrigins>[0]) => (told++, recordOrigins(message)) });
     }
+    return () => told;
+}
+
+test("a route with one pool and one version tells control nothing, also after a change of other routes and of weights", async t => {
+    const fleet = await createTwoPools(310, { service: "models" });
+    const countTold = countRecordedOrigins(fleet);
     await change(fleet, 2, { split: [{ service: "models", weight: 100 }, { service: "other", weight: 0 }] });
     await begin(fleet);
-    t.equal(told, 0);
+    t.equal(countTold(), 0);
+});
+
+// Guards against an entry that learns the routes in force at its start and never counts them as known: it refused each stream taken up there
+// until the next change of the configuration.
+for (const restart of ["stopped", "killed"] as const) {
+    test(`an entry that was ${restart} and started again continues streams of other entries, without a change since`, async t => {
+        const fleet = await createTwoPools(311, { service: "models" });
+        const { vm, process } = fleet.entries[1]!;
+        if (restart === "stopped") await fleet.simulation.runUntil(process!.part.stop());
+        vm.restart();
+        await fleet.startEntry(1);
+        await keepAlive(fleet, windowMs + 5_000);
+        await begin(fleet);
+        fleet.entries[0]!.vm.crash();
+        t.same(await resumeAll(fleet, 1), { joined: [], refused: [] });
+    });
+}
+
+test("an entry that has just started continues streams of other entries, without a change since", async t => {
+    const fleet = await createTwoPools(312, { service: "models" });
+    await begin(fleet);
+    fleet.entries[1]!.vm.restart();
+    await fleet.startEntry(1);
+    await fleet.simulation.advance(1_000);
+    fleet.entries[0]!.vm.crash();
+    t.same(await resumeAll(fleet, 1), { joined: [], refused: [] });
+});
+
+test("restarted entries tell control of no stream once they know the routes of the whole window", async t => {
+    const fleet = await createTwoPools(313, { service: "models" });
+    for (const [index, entry] of fleet.entries.entries()) {
+        entry.vm.restart();
+        await fleet.startEntry(index);
+    }
+    await keepAlive(fleet, windowMs + 5_000);
+    const countTold = countRecordedOrigins(fleet);
+    await begin(fleet);
+    t.equal(countTold(), 0);
 });
 
 const resumeTarget = { host: "h.example", path: "/resume/1" };
