Commit the leaving of a backend server before it is acknowledged

A heartbeat that the server had sent before arrived late, and both entries sent requests to the server, more than 8 s after the acknowledgement. Cause: an acknowledgement waited for a majority of memories. After a kill of all processes there was no record to compare the heartbeat with. Change: a command of the replicated log for each leaving, submitted while the record is pushed as before; the acknowledgement waits for both. A control VM that has just started holds records of servers that do not leave until it has applied what was committed before its start, and entries do not use its directory until then. Why it works: a majority of disks has the record before the server hears of it, and no VM judges a heartbeat, or passes one on, before it has it.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -9,7 +9,10 @@
     WatchReply,
     WatchRequest,
 } from "../kernel/contracts.js";
+import type { ControlClient } from "../kernel/controlClient.js";
 import { assert } from "../kernel/debug.js";
+import { getDigest } from "../kernel/digest.js";
+import type { BackendServerRecord } from "../kernel/directory.js";
 import type { EvacuationList, EvacuationOrder } from "../kernel/evacuationMessages.js";
 import type { Host } from "../kernel/host.js";
 import { commandSchemas, querySchemas } from "../kernel/messages.js";
@@ -46,6 +49,8 @@
     readonly timing?: ReplicaTiming;
     readonly snapshotEveryEntries?: number;
     readonly group?: GroupOptions;
+    /** Submits a command to the leader, wherever it is. */
+    readonly submit: ControlClient["submit"];
 }
 
 /** A running control VM. */
@@ -93,6 +98,10 @@
     const vmRecords = new Map<string, VmRecord>();
     let loggedEvacuations = state.getEvacuations();
     const routeHistory = createRouteHistory();
+    // The replica loads its snapshot before the directory exists.
+    const forwardReference: { directory?: ControlDirectory; } = {};
+    /** Control time of the command that was applied last. */
+    let appliedAtMs = 0;
     /** Refusals since the last log line, by budget. */
     const refusalsByBudget = new Map<string | undefined, { readonly loggedAtMs: number; readonly refusals: number; }>();
     const replica = createReplica(host, {
@@ -106,6 +115,11 @@
                 const revisionBefore = state.getRevision();
                 const outcome = stateMachine.apply(entry, context);
                 state.onApplied(context.index);
+                appliedAtMs = context.nowMs;
+                if (entry.command === "leavingServers.record") {
+                    const { record } = entry.input as CommandInputs["leavingServers.record"];
+                    forwardReference.directory?.restoreLeaving([record]);
+                }
                 logEvacuationChanges();
                 // Watchers wait for a new revision or for a recall, which only a lease renewal starts.
                 const isPublished = state.getRevision() !== revisionBefore;
@@ -116,6 +130,7 @@
             save: stateMachine.save,
             load(saved) {
                 stateMachine.load(saved);
+                forwardReference.directory?.restoreLeaving(listLeaving());
                 logEvacuationChanges();
                 stateChanged.notify();
                 routeHistory.observe(state.listRoutes(), host.clock.nowMs());
@@ -133,7 +148,10 @@
             return hasQuorum(membership, voterId => counted.has(voterId));
         },
         isConnected: () => replica.getStatus().isConnected,
+        hasCaughtUp: () => Number.isFinite(replica.getStatus().stateAgeMs),
+        leaving: { list: listLeaving, covers: state.leavingServers.covers, commit: commitLeaving },
     });
+    forwardReference.directory = directory;
     const streamOrigins = createStreamOriginTable(directory.versions, routeHistory, directory.list);
     const group = createMembershipManager(host, { replica, self: options.self, ...options.group });
     replica.start();
@@ -199,6 +217,16 @@
         return toReply(proposed, request.kind);
     }
 
+    function listLeaving(): readonly BackendServerRecord[] {
+        return state.leavingServers.list(appliedAtMs);
+    }
+
+    // Several control VMs may get the same notice. Those that are pending together make one log entry.
+    async function commitLeaving(record: BackendServerRecord, timeoutMs: number): Promise<boolean> {
+        const operationId = `leaving/${getDigest([record.backendServer, record.bornMs, record.state])}`;
+        return (await options.submit("leavingServers.record", { record }, { timeoutMs, operationId })).kind === "done";
+    }
+
     // An operator who got no answer sends the same set again and again. A log entry for each would only make the answers later.
     function confirmReplacement(): Promise<ControlReply<ChangeOutcome>> {
         return read(() => ({ outcome: "repeated", version: state.getConfiguration().version, problems: [] }));
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -1,12 +1,14 @@
 /**
  * The backend server directory of one control VM. A control VM that receives a heartbeat pushes changed records to the other
  * control VMs immediately, and these forward notices of leaving that are new to them. A heartbeat that announces draining or departure is
- * acknowledged only after a majority of the voters has the record. Otherwise an isolated control VM could acknowledge a
- * departure that entries never learn of.
+ * acknowledged only after a majority of the voters has the record, and after the group has committed it. Otherwise an isolated control VM could
+ * acknowledge a departure that entries never learn of, and a late heartbeat could revoke one after all control VMs were killed.
+ *
+ * A VM that has just started does not know yet what was committed. Until then it holds the records of servers that do not leave.
  */
 import type { DirectoryGossip, DirectoryReply, DirectoryRequest } from "../kernel/contracts.js";
 import type { ControlRouter } from "../kernel/contracts.js";
-import { checkBackendServerRecord, countDownColdTime, createDirectoryTable } from "../kernel/directory.js";
+import { checkBackendServerRecord, countDownColdTime, createDirectoryTable, isNewerRecord } from "../kernel/directory.js";
 import type { BackendServerRecord } from "../kernel/directory.js";
 import type { Host } from "../kernel/host.js";
 import { createRpcClients } from "../kernel/rpc.js";
@@ -28,6 +30,18 @@
     hasQuorum(isCounted: (address: Address) => boolean): boolean;
     /** True while this VM is the leader or has recently heard from the leader. */
     isConnected(): boolean;
+    /** True once this VM has applied all that the group had committed before it started. */
+    hasCaughtUp(): boolean;
+    readonly leaving: LeavingServerLog;
+}
+
+/** The leaving of backend servers, as the group has committed it. */
+export interface LeavingServerLog {
+    list(): readonly BackendServerRecord[];
+    /** True if the group has committed that the server has gone at least as far as the record says. */
+    covers(record: BackendServerRecord): boolean;
+    /** Commits a record. Returns false if it is not known to be committed within the timeout. */
+    commit(record: BackendServerRecord, timeoutMs: number): Promise<boolean>;
 }
 
 /** The backend server directory of one control VM. */
@@ -36,6 +50,8 @@
     recordHeartbeat(record: BackendServerRecord): Promise<boolean>;
     get(backendServer: string): BackendServerRecord | undefined;
     list(): readonly BackendServerRecord[];
+    /** Merges committed records of leaving servers. */
+    restoreLeaving(records: readonly BackendServerRecord[]): void;
     readonly versions: VersionHistory;
     /** Merges the records and watchers that another control VM pushed. */
     spread(message: DirectoryGossip): { readonly incarnation: string; };
@@ -45,7 +61,7 @@
     stop(): void;
 }
 
-/** A record that waits to be sent. */
+/** A record that waits to be sent or merged. */
 interface PendingRecord {
     readonly record: BackendServerRecord;
     readonly receivedAtMs: number;
@@ -73,6 +89,8 @@
 const idlePushIntervalMs = 1_000;
 /** Backend servers wait one second for an answer to a heartbeat, so this must be shorter. */
 const majorityTimeoutMs = 800;
+/** Interval at which a VM that has just started checks whether it has caught up. Servers wait for that before they get requests. */
+const catchUpPollMs = 20;
 /** Time for which a watch waits at a control VM without contact to its group, so that callers without a better one do not ask all the time. */
 const disconnectedHoldMs = 300;
 
@@ -87,24 +105,29 @@
     const peers = new Map<Address, Peer>();
     const watchers = createWatcherList();
     const versions = createVersionHistory();
+    /** Records that came before this VM had caught up, by backend server. */
+    const held = new Map<string, PendingRecord>();
+    let isCaughtUp = false;
 
     return {
         versions,
         async recordHeartbeat(record) {
             const receivedAtMs = host.clock.nowMs();
+            if (record.state === "ready" && !hasCaughtUp()) {
+                hold({ record, receivedAtMs });
+                return waitUntilCaughtUp(majorityTimeoutMs);
+            }
             const previous = table.get(record.backendServer, receivedAtMs);
             const outcome = table.merge(record, receivedAtMs);
-            if (outcome === "ignored") return isKnownLeaving(record) ? waitForMajority(record) : true;
+            if (outcome === "ignored") return isKnownLeaving(record) ? confirmLeaving(record) : true;
             if (outcome === "changed") {
                 versions.observe([record], host.clock.nowMs());
                 reportChange(record, previous);
             }
-            for (const peer of peers.values()) {
-                peer.pending.set(record.backendServer, { record, receivedAtMs });
-                if (outcome === "changed") peer.pushRequested.notify();
-            }
-            return record.state === "ready" ? true : waitForMajority(record);
+            pushToPeers(record, receivedAtMs, outcome === "changed");
+            return record.state === "ready" ? true : confirmLeaving(record);
         },
+        restoreLeaving,
         get: backendServer => table.get(backendServer, host.clock.nowMs()),
         list: () => table.listSince(0, host.clock.nowMs()),
         spread(message) {
@@ -114,6 +137,9 @@
                 if (check.kind === "invalid") {
                     log.warn("A backend server record of another control VM is invalid.", { problem: check.problem });
                 }
+                else if (check.record.state === "ready" && !hasCaughtUp()) {
+                    hold({ record: check.record, receivedAtMs: host.clock.nowMs() });
+                }
                 else if (table.merge(check.record, host.clock.nowMs()) === "changed") changed.push(check.record);
             }
             if (changed.length > 0) {
@@ -128,7 +154,7 @@
             if (request.watcher !== undefined) watchers.addLocal(request.watcher, host.clock.nowMs());
             const receivedAtMs = host.clock.nowMs();
             const since = request.incarnation === incarnation ? request.revision : 0;
-            const heldMs = group.isConnected() ? 0 : Math.min(disconnectedHoldMs, request.timeoutMs);
+            const heldMs = isCurrent() ? 0 : Math.min(disconnectedHoldMs, request.timeoutMs);
             if (heldMs > 0) await sleep(host.timers, heldMs, stopping.signal);
             await waitUntil(host, tableChanged, () => table.revision > since, request.timeoutMs - heldMs);
             const servers = table.listSince(since, host.clock.nowMs());
@@ -140,24 +166,82 @@
                 watcherCount: watchers.count(host.clock.nowMs()),
                 watcherRank: watchers.getRank(request.watcher ?? "", host.clock.nowMs()),
                 entryHashes: request.needsEntries === true ? watchers.listHashes(host.clock.nowMs()) : undefined,
-                isConnected: group.isConnected(),
+                isConnected: isCurrent(),
                 waitedMs: host.clock.nowMs() - receivedAtMs,
             };
         },
-        start: () =>
+        start() {
+            void waitUntilCaughtUp(Infinity);
             void runPeriodically(
                 host.timers,
                 maintenanceIntervalMs,
                 stopping.signal,
                 runMaintenance,
                 error => log.warn("Directory maintenance failed.", { detail: getErrorText(error) }),
-            ),
+            );
+        },
         stop() {
             stopping.abort();
             for (const peer of peers.values()) peer.pushRequested.notify();
         },
     };
 
+    /** True while the directory of this VM tells entries which servers they may use. */
+    function isCurrent(): boolean {
+        return group.isConnected() && hasCaughtUp();
+    }
+
+    function hasCaughtUp(): boolean {
+        if (isCaughtUp || !group.hasCaughtUp()) return isCaughtUp;
+        isCaughtUp = true;
+        restoreLeaving(group.leaving.list());
+        mergeHeld();
+        return true;
+    }
+
+    async function waitUntilCaughtUp(timeoutMs: number): Promise<boolean> {
+        const deadlineMs = host.clock.nowMs() + timeoutMs;
+        while (!hasCaughtUp() && !stopping.signal.aborted && host.clock.nowMs() < deadlineMs) await sleep(host.timers, catchUpPollMs);
+        return hasCaughtUp();
+    }
+
+    function hold(pending: PendingRecord): void {
+        const { backendServer } = pending.record;
+        const other = held.get(backendServer)?.record;
+        if (other === undefined || isNewerRecord(pending.record, other)) held.set(backendServer, pending);
+    }
+
+    function mergeHeld(): void {
+        const nowMs = host.clock.nowMs();
+        for (const { record, receivedAtMs } of held.values()) {
+            const previous = table.get(record.backendServer, nowMs);
+            const counted = countDownColdTime(record, nowMs - receivedAtMs);
+            const outcome = table.merge(counted, nowMs);
+            log.info("A record was merged that came before this VM had caught up.", { backendServer: record.backendServer, outcome });
+            if (outcome === "ignored") continue;
+            versions.observe([counted], nowMs);
+            reportChange(counted, previous);
+            pushToPeers(counted, nowMs, true);
+        }
+        held.clear();
+    }
+
+    // The servers may be gone for long, so the versions that they had are not in service now.
+    function restoreLeaving(records: readonly BackendServerRecord[]): void {
+        const nowMs = host.clock.nowMs();
+        for (const record of records) {
+            const previous = table.get(record.backendServer, nowMs);
+            if (table.merge(record, nowMs) === "changed") reportChange(record, previous);
+        }
+    }
+
+    function pushToPeers(record: BackendServerRecord, receivedAtMs: number, isChanged: boolean): void {
+        for (const peer of peers.values()) {
+            peer.pending.set(record.backendServer, { record, receivedAtMs });
+            if (isChanged) peer.pushRequested.notify();
+        }
+    }
+
     function reportChange(record: BackendServerRecord, previous: BackendServerRecord | undefined): void {
         tableChanged.notify();
         log.info("A backend server record changed.", {
@@ -186,6 +270,22 @@
         return record.state !== "ready" && table.get(record.backendServer, host.clock.nowMs())?.state !== "ready";
     }
 
+    async function confirmLeaving(record: BackendServerRecord): Promise<boolean> {
+        const confirmations = await Promise.all([waitForMajority(record), commitLeaving(record)]);
+        return confirmations.every(Boolean);
+    }
+
+    async function commitLeaving(record: BackendServerRecord): Promise<boolean> {
+        if (group.leaving.covers(record)) return true;
+        const isCommitted = await group.leaving.commit(record, majorityTimeoutMs);
+        if (!isCommitted) {
+            log.warn("A heartbeat of a leaving backend server is not acknowledged: the group did not commit the record in time.", {
+                backendServer: record.backendServer,
+            });
+        }
+        return isCommitted;
+    }
+
     // A record that is still pending for a peer has not been confirmed by that peer.
     async function waitForMajority(record: BackendServerRecord): Promise<boolean> {
         const isConfirmedBy = (peer: Peer | undefined) =>
@@ -206,7 +306,8 @@
         const revisionBefore = table.revision;
         table.expire(nowMs - heartbeatTimeoutMs, nowMs - goneRecordRetentionMs);
         if (table.revision !== revisionBefore) tableChanged.notify();
-        versions.observe(table.listSince(0, nowMs), nowMs);
+        // Records of servers that are gone were observed as they came.
+        versions.observe(table.listSince(0, nowMs).filter(server => server.state !== "gone"), nowMs);
         const currentAddresses = new Set(group.listPeers());
         for (const [address, peer] of peers) {
             if (currentAddresses.has(address)) continue;
--- a/src/control/plugins/index.ts
+++ b/src/control/plugins/index.ts
@@ -15,6 +15,8 @@
 import { createEvacuations } from "./evacuations.js";
 import { createFleet } from "./fleet.js";
 import type { FleetState } from "./fleet.js";
+import { createLeavingServers } from "./leavingServers.js";
+import type { LeavingServers } from "./leavingServers.js";
 import { createObjectKinds } from "./objectKinds.js";
 import { createOrders } from "./orders.js";
 import { createQuarantine } from "./quarantine.js";
@@ -29,6 +31,7 @@
     getEvacuations(): EvacuationList;
     /** Outcome of an evacuation order that would change nothing now. Undefined if it has to be committed. */
     findEvacuationOutcome(order: EvacuationOrder): EvacuationOutcome | undefined;
+    readonly leavingServers: Pick<LeavingServers, "list" | "covers">;
     /** Log index of the last change to the published configuration, quarantine or evacuations. */
     getRevision(): number;
     onApplied(index: number): void;
@@ -72,6 +75,7 @@
         () => [...ledger.listLeases()].filter(lease => lease.state !== "open").map(lease => lease.leaseId),
         vm => [...new Set([...ledger.listLeases()].filter(lease => lease.vm === vm).map(lease => lease.incarnation))],
     );
+    const leavingServers = createLeavingServers();
     const orders = createOrders({ getObjects: configuration.getObjectIndex, fleet: fleet.state });
     const objectKinds = createObjectKinds(ledger.hasOpenLeases);
     for (
@@ -84,6 +88,7 @@
             fleet.plugin,
             quarantine.plugin,
             evacuations.plugin,
+            leavingServers.plugin,
             orders,
         ]
     ) {
@@ -125,6 +130,7 @@
     return {
         ledger,
         fleet: fleet.state,
+        leavingServers,
         getConfiguration: configuration.getView,
         listRoutes: () => configuration.getObjectIndex().list("httpRoute"),
         getDelta: configuration.getDelta,
--- a/src/control/stateMachine.ts
+++ b/src/control/stateMachine.ts
@@ -40,6 +40,7 @@
     "quarantine.exonerateParts": "none",
     "quarantine.clear": "short",
     "evacuations.set": "none",
+    "leavingServers.record": "none",
     "orders.plan": "none",
     "orders.done": "none",
 };
--- a/src/kernel/directory.ts
+++ b/src/kernel/directory.ts
@@ -12,7 +12,7 @@
 const maxSlots = 1_000_000;
 
 /** Schema of a record. It is the only one, so that what one process accepts, all others accept from it. */
-const backendServerRecordSchema = z.object({
+export const backendServerRecordSchema = z.object({
     backendServer: boundedString,
     pool: boundedString,
     /** Address at which it takes requests. May be anything once it is gone. */
@@ -103,7 +103,7 @@
 
     function merge(record: BackendServerRecord, nowMs: number): MergeOutcome {
         const current = rows.get(record.backendServer);
-        if (current !== undefined && !isNewer(record, current.record)) return "ignored";
+        if (current !== undefined && !isNewerRecord(record, current.record)) return "ignored";
         if (record.state !== "gone" && !claimAddress(record, nowMs)) return "ignored";
         if (current === undefined || !isUnchanged(record, current.record) || isColdForLonger(record, current, nowMs)) {
             setRecord(record, nowMs, nowMs + record.coldLeftMs);
@@ -150,8 +150,11 @@
     return record.coldLeftMs > Math.max(0, known.coldUntilMs - nowMs) + coldToleranceMs;
 }
 
-// An incarnation that is gone stays gone, even if delayed heartbeats of it still arrive.
-function isNewer(record: BackendServerRecord, current: BackendServerRecord): boolean {
+/**
+ * Returns true if a record tells of a later state of a backend server than another one. An incarnation that is gone stays gone, even if delayed
+ * heartbeats of it still arrive.
+ */
+export function isNewerRecord(record: BackendServerRecord, current: BackendServerRecord): boolean {
     if (record.bornMs !== current.bornMs) return record.bornMs > current.bornMs;
     if (current.state === "gone") return false;
     return record.state === "gone" || record.sequence > current.sequence ||
--- a/src/kernel/messages.ts
+++ b/src/kernel/messages.ts
@@ -4,6 +4,7 @@
  */
 import { z } from "zod";
 import type { MessageCode } from "./diagnostics.js";
+import { backendServerRecordSchema } from "./directory.js";
 import { evacuationOrderSchema } from "./evacuationMessages.js";
 import type { EvacuationList, EvacuationOutcome } from "./evacuationMessages.js";
 import type { PartCrash } from "./partBlame.js";
@@ -286,6 +287,8 @@
     "quarantine.exonerateParts": z.object({ partIds: z.array(boundedString).max(crashReportLimits.partIds) }),
     "quarantine.clear": z.object({ fingerprint: boundedString, actor: boundedString }),
     "evacuations.set": evacuationOrderSchema,
+    /** Makes the leaving of a backend server without an agent durable. */
+    "leavingServers.record": z.object({ record: backendServerRecordSchema }),
     "orders.plan": z.object({}),
     "orders.done": z.object({ orderId: z.number(), isDone: z.boolean() }),
 } as const;
@@ -321,6 +324,7 @@
     readonly "quarantine.exonerateParts": { readonly isKnown: boolean; };
     readonly "quarantine.clear": { readonly isKnown: boolean; };
     readonly "evacuations.set": { readonly outcome: EvacuationOutcome; };
+    readonly "leavingServers.record": { readonly isRecorded: boolean; };
     readonly "orders.plan": { readonly planned: number; };
     readonly "orders.done": { readonly isKnown: boolean; };
 }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -131,6 +131,7 @@
         timing: settings.timing,
         snapshotEveryEntries: settings.snapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: settings.leaseRules }),
+        submit: (kind, input, callOptions) => control.submit(kind, input, callOptions),
     });
     const control = createControlClient(host, settings.controlAddresses);
     const administration = createAdministration(host, {
@@ -252,6 +253,7 @@
         snapshotEveryEntries: seededSnapshotEveryEntries,
         createState: (register, registry) => createControlState(register, registry, { leaseRules: gatewayLeaseRules }),
         group: { getSeeds: () => seeds, targetVoters: settings.targetVoters },
+        submit: (kind, input, callOptions) => control.submit(kind, input, callOptions),
     });
     const paths = createControlPaths(host, [fleetListen, ...seeds.filter(seed => seed !== fleetListen)]);
     const control = createControlClient(host, paths, seededClientTiming);
--- a/test/coldServers.test.ts
+++ b/test/coldServers.test.ts
@@ -17,7 +17,7 @@
 import type { BackendServerRecord } from "../src/kernel/directory.js";
 import type { BackendServerPoolObject, ConfigurationObject } from "../src/kernel/objects.js";
 import { createRandom, createSimulation } from "../src/standins/fakeHost.js";
-import { createConfiguration } from "./directFleet.js";
+import { createConfiguration, createSingleGroup } from "./directFleet.js";
 
 const bound = { overrunFactor: 1.5, extraRequests: 5 };
 
@@ -132,8 +132,7 @@
 test("the remaining cold time is counted down on the way through control", async t => {
     const simulation = createSimulation(60);
     const { host } = simulation.createVm("10.0.0.1");
-    const group = { listPeers: () => [], hasQuorum: () => true, isConnected: () => true };
-    const directory = createControlDirectory(host, "i", group);
+    const directory = createControlDirectory(host, "i", createSingleGroup());
     await simulation.runUntil(directory.recordHeartbeat(createRecord({ coldLeftMs: 3_000 })));
     const request = { incarnation: "", revision: 0, timeoutMs: 500, watcher: "10.0.1.1:7200" };
     await simulation.advance(1_000);
--- a/test/directFleet.ts
+++ b/test/directFleet.ts
@@ -2,6 +2,7 @@
 import { createControlApi } from "../platform/controlApi.js";
 import { platformProtocol } from "../platform/requests.js";
 import type { Control } from "../src/control/control.js";
+import type { ControlGroupView } from "../src/control/directory.js";
 import type { ColdBound } from "../src/entry/direct/coldServers.js";
 import type { Gateway } from "../src/entry/direct/gateway.js";
 import type { HttpHandler, HttpRequest, HttpResponse, IncomingResponse } from "../src/kernel/host.js";
@@ -227,6 +228,17 @@
     }
 }
 
+/** View of a control group of one VM, which has committed nothing. */
+export function createSingleGroup(): ControlGroupView {
+    return {
+        listPeers: () => [],
+        hasQuorum: () => true,
+        isConnected: () => true,
+        hasCaughtUp: () => true,
+        leaving: { list: () => [], covers: () => false, commit: async () => true },
+    };
+}
+
 /** Creates a configuration with one pool, a route of each kind below its own prefix, and one account. */
 export function createConfiguration(version: number, changes: object = {}): object {
     const route = { host: "h.example", timeout_ms: 3_000, slo_ms: 300, priority: 0, service: "models", attempts: 2 };
--- a/test/operatorApi.test.ts
+++ b/test/operatorApi.test.ts
@@ -7,7 +7,7 @@
 import { createNodeHost } from "../src/kernel/hostNode.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 import { createSilentLogger } from "../src/standins/silentLogger.js";
-import { controlPort, createConfiguration, createDirectFleet } from "./directFleet.js";
+import { controlPort, createConfiguration, createDirectFleet, createSingleGroup } from "./directFleet.js";
 
 test("the highest version wins in any order of arrival", async t => {
     const fleet = await createDirectFleet(31);
@@ -87,7 +87,7 @@
 
 test("one record that cannot be used does not spoil the others of a message between control VMs", t => {
     const host = createSimulation(35).createVm("10.0.0.1").host;
-    const directory = createControlDirectory(host, "i", { listPeers: () => [], hasQuorum: () => true, isConnected: () => true });
+    const directory = createControlDirectory(host, "i", createSingleGroup());
     const check = decodeHeartbeat("a", JSON.stringify(validHeartbeat), wallMs);
     if (check.kind !== "valid") throw new Error(check.problem);
     const records = [{ ...check.record, backendServer: "b", maxRunning: 1e17 }, null, check.record];
