Push repeated notices of a leaving server at once

What servers saw: a repeated notice at a control VM that knew of the leaving already could wait for the next message to the other VMs, up to 1,000 ms, while the server waits 800 ms for a majority: 503, and the server turned elsewhere. Cause: only a notice that changed the directory woke the task that sends to the other VMs. Evidence: leavingServers.test.ts, "repeated notices of one server ..." failed before (the notice at the third VM was not acknowledged) and holds now.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -124,7 +124,8 @@
                 versions.observe([record], host.clock.nowMs());
                 reportChange(record, previous);
             }
-            pushToPeers(record, receivedAtMs, outcome === "changed");
+            // The acknowledgement of a leaving server waits for the peers, also where the notice only repeats another one.
+            pushToPeers(record, receivedAtMs, outcome === "changed" || record.state !== "ready");
             return record.state === "ready" ? true : confirmLeaving(record);
         },
         restoreLeaving,
@@ -235,10 +236,10 @@
         }
     }
 
-    function pushToPeers(record: BackendServerRecord, receivedAtMs: number, isChanged: boolean): void {
+    function pushToPeers(record: BackendServerRecord, receivedAtMs: number, isUrgent: boolean): void {
         for (const peer of peers.values()) {
             peer.pending.set(record.backendServer, { record, receivedAtMs });
-            if (isChanged) peer.pushRequested.notify();
+            if (isUrgent) peer.pushRequested.notify();
         }
     }
 
--- a/test/leavingServers.test.ts
+++ b/test/leavingServers.test.ts
@@ -179,6 +179,26 @@
     t.not(await fleet.simulation.runUntil(announce(fleet, leaver, 0, "gone")), 200);
 });
 
+// Guards against notices that wait for the next message to the other control VMs, which may come later than the server waits.
+test("repeated notices of one server are acknowledged by each control VM and add one entry to the log", async t => {
+    const { fleet, leaver } = await createFleet(608);
+    await fleet.simulation.advance(500);
+    t.equal(await fleet.simulation.runUntil(announce(fleet, leaver, 0, "draining")), 200);
+    await fleet.simulation.advance(200);
+    const before = fleet.getLeader()!.state.leavingServers.list(0);
+    const entries: string[] = [];
+    for (const { process } of fleet.controls) {
+        const { api } = process!.part;
+        const { submit } = api;
+        Object.assign(api, { submit: (request: Parameters<typeof submit>[0]) => (entries.push(request.kind), submit(request)) });
+    }
+    for (const control of [0, 1, 2, 0]) {
+        t.equal(await fleet.simulation.runUntil(announce(fleet, leaver, control, "draining")), 200, `at VM ${control}`);
+    }
+    t.equal(entries.filter(kind => kind === "leavingServers.record").length, 0);
+    t.same(fleet.getLeader()!.state.leavingServers.list(0), before);
+});
+
 function createRecord(changes: Partial<BackendServerRecord> = {}): BackendServerRecord {
     return {
         backendServer: "s",
