Clear a request that may crash servers by a successful answer only

Cause: each whole answer of a server cleared the request at the entry and at control. An error answer shows nothing of what the request does. Evidence: the record of a run on: at 36.9 s the request crashes a server and gets 500 from the next one, and 1.5 s later it crashes two more; at 76.1 s a trial gets 500, goes on at another server in the same attempt and crashes that one. Change: a request ends as succeeded or failed, once; an error is a failure. Crashes before an error answer of the same request count, they were dropped. A trial reaches one server. The agents' door: an error of a plain service clears a suspect no longer. A trial that clears nothing is logged. Why it works: what control holds against a request, crashes and trials, now ends only by a run that did no harm, by expiry or by an operator. Weighed: a trial that showed nothing is spent, see docs/design/quarantine-and-orders.md.

--- a/src/entry/delivery/attempt.ts
+++ b/src/entry/delivery/attempt.ts
@@ -14,7 +14,7 @@
 import type { Exchange, ParsedRequest } from "../types.js";
 import { attachToClaim, openClaim } from "./claims.js";
 import { cancelAttempt, releaseClaim, settleAbandoned, settleAfterCallerDisconnect, settleFinished, settleNotRun } from "./settlement.js";
-import { exonerateSuspect, reportCrash } from "./suspects.js";
+import { exonerateSuspect, reportCrash, showsSoundness } from "./suspects.js";
 import type { Attempt, AttemptResult, DeliveryContext } from "./types.js";
 
 /** Input of an attempt. */
@@ -216,6 +216,7 @@
     const startedAtMs = delivery.host.clock.nowMs();
     const stallTimer = startStallTimer(delivery, exchange, attempt, choice, abort);
     let firstTokenMs: number | undefined;
+    let status: number | undefined;
     try {
         const reply = sent.kind === "accepted" ? sent.reply : undefined;
         for await (const frame of followAttempt(delivery.host, attempt.location, { signal: abort.signal, maxUnreachableMs, reply })) {
@@ -223,6 +224,8 @@
                 firstTokenMs ??= delivery.host.clock.nowMs() - startedAtMs;
                 stallTimer.cancel();
             }
+            if (frame.kind === "head") status = frame.status;
+            if (frame.kind === "end" && exchange.isSolo && showsSoundness(status)) exonerateSuspect(delivery, exchange);
             const result = await handleFrame(delivery, request, attempt, frame, firstTokenMs);
             if (result !== undefined) return result;
         }
@@ -273,7 +276,6 @@
             delivery.router.recordOutcome(attempt.backendServer, "good", getAttemptTimes(request, firstTokenMs, nowMs), nowMs);
             recordCompletionTokens(delivery, exchange, frame.completionTokens);
             await settleFinished(delivery, attempt, frame);
-            if (exchange.isSolo) exonerateSuspect(delivery, exchange);
             await writer.finish(frame);
             return { kind: "delivered" };
         case "failed":
--- a/src/entry/delivery/suspects.ts
+++ b/src/entry/delivery/suspects.ts
@@ -26,7 +26,12 @@
     return outcome.result.suspicions[fingerprint] ?? "clear";
 }
 
-/** Reports to control that a suspect ran alone and finished. */
+/** True if the status of a complete answer shows that the request did the backend server no harm. One that reports an error shows nothing. */
+export function showsSoundness(status: number | undefined): boolean {
+    return status !== undefined && status < 300;
+}
+
+/** Reports to control that a suspect ran alone and succeeded. */
 export function exonerateSuspect(delivery: DeliveryContext, exchange: Exchange): void {
     const { fingerprint } = checkDefined(exchange.parsed, "the request is parsed");
     delivery.background.run(async () =>
--- a/src/entry/direct/crashGuard.ts
+++ b/src/entry/direct/crashGuard.ts
@@ -1,7 +1,8 @@
 /**
  * Holds back requests that crash the backend servers that run them. An entry that has seen a request fail because its backend
  * servers crashed reports the crashes to control, which quarantines the request in the whole fleet. While control cannot be
- * reached, the entry applies the same limit to the crashes that it has seen itself. A whole answer clears the request everywhere.
+ * reached, the entry applies the same limit to the crashes that it has seen itself. A successful answer clears the request everywhere. An answer
+ * with which a backend server reports an error does not: a server may fail a request that would have crashed it.
  * The same is done for the parts of prompts, because a part may crash backend servers whatever else a request holds.
  */
 import type { ControlClient } from "../../kernel/controlClient.js";
@@ -44,13 +45,14 @@
     start(signal: AbortSignal): void;
 }
 
-/** How a request ended. `answered`: with a complete answer that reports an error. */
-export type WatchedEnd = "succeeded" | "answered" | "failed";
+/** How a request ended. `failed`: without a complete answer, or with one that reports an error. */
+export type WatchedEnd = "succeeded" | "failed";
 
 /** Watches the attempts of one request. */
 export interface CrashWatch {
     /** Records that the connection to a backend server broke while the request ran, after it had delivered some events. */
     recordBreak(server: BackendServerRecord, events: number): void;
+    /** Must be called once, when no further attempt is made. */
     end(end: WatchedEnd): void;
 }
 
@@ -145,13 +147,21 @@
         return {
             recordBreak: (server, events) => void breaks.push(confirmCrash(call, server, events)),
             end(end) {
-                if (end !== "failed") clearRequest(call.fingerprint);
-                else if (breaks.length > 0) recordCrashes(breaks).catch(logRecordFailure);
-                if (end === "succeeded") clearParts(listSharedParts(call));
+                if (end === "failed") {
+                    if (call.isTrial === true) logUnclearedTrial(call, breaks.length);
+                    if (breaks.length > 0) recordCrashes(breaks).catch(logRecordFailure);
+                    return;
+                }
+                clearRequest(call.fingerprint);
+                clearParts(listSharedParts(call));
             },
         };
     }
 
+    function logUnclearedTrial({ head: { requestId }, fingerprint }: DirectCall, brokenConnections: number): void {
+        log.info("A trial did not clear a quarantined request.", { requestId, fingerprint, brokenConnections });
+    }
+
     // A server that still accepts connections has not crashed: the connection was reset, or the answer was lost.
     async function confirmCrash(call: DirectCall, server: BackendServerRecord, events: number): Promise<Crash | undefined> {
         const atMs = host.clock.nowMs();
--- a/src/entry/direct/delivery.ts
+++ b/src/entry/direct/delivery.ts
@@ -168,16 +168,17 @@
             const placement = choosePlacementForCall();
             if (placement === undefined) break;
             const outcome = await makeAttempt(placement);
-            if (outcome.kind !== "failed") {
-                crashWatch.end(outcome.kind === "streamed" || outcome.answer.status < 300 ? "succeeded" : "answered");
-            }
             if (outcome.kind === "streamed") {
+                crashWatch.end("succeeded");
                 response.end();
                 return createResult(undefined);
             }
             if (outcome.kind === "answer") {
                 const isFinal = outcome.answer.status < 500 || !isRepeatable(call.route);
-                if (isFinal && !response.hasStarted) return writeAnswer(outcome.answer);
+                if (isFinal && !response.hasStarted) {
+                    crashWatch.end(outcome.answer.status < 300 ? "succeeded" : "failed");
+                    return writeAnswer(outcome.answer);
+                }
                 keepFailedAnswer(outcome.answer);
                 progress.verdict = createVerdict("ran", "backendServerFailed");
                 if (isFinal) break;
@@ -185,7 +186,7 @@
             else progress.verdict = outcome.verdict;
             if (!mayRetry()) break;
         }
-        crashWatch.end(progress.failedAnswer === undefined ? "failed" : "answered");
+        crashWatch.end("failed");
         if (progress.failedAnswer !== undefined && !response.hasStarted) return writeAnswer(progress.failedAnswer);
         if (response.hasStarted) response.abort();
         return createResult(toFinalVerdict());
@@ -310,7 +311,9 @@
         if (progress.dispatches >= maxDispatches) return false;
         if (progress.verdict.kind !== "notRun" && !isRepeatable(call.route)) return false;
         if (progress.possibleRuns >= call.route.maxAttempts) return false;
-        if (progress.brokenAttempts >= (call.isTrial === true ? 1 : maxBrokenAttempts)) return false;
+        // A trial shows what the request does to one backend server, whatever that server answers.
+        if (call.isTrial === true && progress.hasReachedServer) return false;
+        if (progress.brokenAttempts >= maxBrokenAttempts) return false;
         // A stream that has started can be resumed at another server only when the id of its last event is known.
         if (progress.deliveredEvents > 0 && progress.lastEventId === undefined) return false;
         return !progress.hasReachedServer || options.retryWindow.tryAcquire(call.pool, nowMs);
--- a/test/crashingRequests.test.ts
+++ b/test/crashingRequests.test.ts
@@ -156,6 +156,85 @@
     t.equal(late.length, 2, `crashes at ${crashes.map(Math.round).join(" ")}`);
 });
 
+/** Answers as a server that fails a request with a status of its own and goes on. */
+function failWith(status: number): ServerBehavior {
+    return async (request, response, server) => {
+        server.runs.push(request.headers["x-attempt-id"] ?? "");
+        response.start(status, createSealHeaders(request));
+        response.end();
+    };
+}
+
+/** Crashes two servers with the request, so that it is held back. */
+async function quarantine(fleet: DirectFleet, path: string): Promise<void> {
+    for (let count = 0; count < 2; count++) {
+        await fleet.simulation.runUntil(fleet.call(count % fleet.entries.length, { path, id: `q${count}` }));
+        await fleet.simulation.advance(1_200);
+    }
+}
+
+// Guards against servers that fail some requests by themselves: their error answers cleared a request that crashes servers.
+for (const status of [500, 502, 422]) {
+    test(`a request that crashes servers stays held back after the status ${status} of a server that fails its trial`, async t => {
+        const fleet = await createDirectFleet(71, { entries: 2, servers: 6 });
+        const { simulation } = fleet;
+        const crashes = crashOn(fleet, "/safe/bad");
+        const [crash] = fleet.servers.map(server => server.behavior);
+        await quarantine(fleet, "/safe/bad");
+        const quarantinedAtMs = simulation.nowMs();
+        for (const server of fleet.servers) server.behavior = failWith(status);
+        let reached: number[] = [];
+        for (let count = 0; count < 120; count++) {
+            void fleet.call(count % 2, { path: "/safe/bad", id: `a${count}` });
+            await simulation.advance(250);
+            if (count % 4 === 0) {
+                for (const server of fleet.servers) if (!server.isDown) await simulation.runUntil(fleet.heartbeat(server, 0));
+            }
+            const runs = fleet.servers.flatMap(server => server.runs);
+            if (runs.length > 0 && reached.length === 0) {
+                reached = [simulation.nowMs() - quarantinedAtMs];
+                t.equal(runs.length, 1, "a trial reaches one server");
+                for (const server of fleet.servers) server.behavior = crash!;
+            }
+        }
+        t.equal(reached.length, 1, "the request was tried");
+        t.equal(crashes.filter(atMs => atMs > quarantinedAtMs).length, 0, "until the next trial, which is due after 30 s");
+    });
+}
+
+test("a crash counts although another server answered the same request with an error afterwards", async t => {
+    const fleet = await createDirectFleet(72, { entries: 2, servers: 6 });
+    const { simulation } = fleet;
+    const crashes = crashOn(fleet, "/safe/bad");
+    const [crash] = fleet.servers.map(server => server.behavior);
+    for (let count = 0; count < 2; count++) {
+        for (const server of fleet.servers) {
+            server.behavior = async (...args) => {
+                for (const other of fleet.servers) other.behavior = failWith(500);
+                return crash!(...args);
+            };
+        }
+        t.equal((await simulation.runUntil(fleet.call(count, { path: "/safe/bad", id: `a${count}` }))).status, 500);
+        await simulation.advance(1_200);
+    }
+    t.equal(crashes.length, 2);
+    t.equal((await simulation.runUntil(fleet.call(0, { path: "/safe/bad", id: "b" }))).status, 503, "held back");
+});
+
+test("a request that a server answered with an error after one crash is held back after the next one", async t => {
+    const fleet = await createDirectFleet(73, { entries: 2, servers: 6 });
+    const { simulation } = fleet;
+    crashOn(fleet, "/once/1");
+    const [crash] = fleet.servers.map(server => server.behavior);
+    const statuses: (number | undefined)[] = [];
+    for (const [count, behavior] of [crash!, failWith(500), crash!, sendCompleteAnswer].entries()) {
+        for (const server of fleet.servers) server.behavior = behavior;
+        statuses.push((await simulation.runUntil(fleet.call(count % 2, { path: "/once/1", id: `a${count}` }))).status);
+        await simulation.advance(1_200);
+    }
+    t.same(statuses, [502, 500, 502, 503]);
+});
+
 test("an entry that cannot reach control holds a request back by itself and reports its crashes later", async t => {
     const fleet = await createDirectFleet(64, { entries: 2, servers: 5 });
     const { simulation } = fleet;
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -1,7 +1,7 @@
 /** Requests end to end through control, entries and agents on fake hosts. */
 import { test } from "tap";
 import { sendChat, sendOrder } from "../bench/caller.js";
-import { createConfigurationObjects, createFleet } from "../bench/fleet.js";
+import { createConfigurationObjects, createFleet, getApiKey } from "../bench/fleet.js";
 import type { Fleet, FleetOptions } from "../bench/fleet.js";
 import { createSimulation } from "../src/standins/fakeHost.js";
 
@@ -125,3 +125,24 @@
     const request = { method: "GET", path: "/streams/%zz?incarnation=i" };
     t.equal((await fleet.simulation.runUntil(fleet.callerVm.host.network.request(address, request))).status, 400);
 });
+
+// Guards against plain services that fail some requests by themselves: their error answers cleared a request that crashes servers.
+test("an error of a plain service does not clear a request during which another one crashed", async t => {
+    for (const [status, records] of [[500, 1], [422, 1], [200, 0]] as const) {
+        const fleet = await startFleet(9);
+        const { simulation } = fleet;
+        const request = {
+            method: "GET",
+            path: `/services/shopdesk/page?status=${status}`,
+            headers: { authorization: `Bearer ${getApiKey("a")}` },
+        };
+        const reply = fleet.callerVm.host.network.request(fleet.getEntryAddress(0), request);
+        const findRunning = () => fleet.backends.findIndex(node => node.service !== undefined && node.service.runs.length > 0);
+        while (findRunning() === -1) await simulation.advance(1);
+        fleet.backends[findRunning()]!.service!.crash();
+        t.equal((await simulation.runUntil(reply)).status, status);
+        await simulation.advance(2_000);
+        const list = await simulation.runUntil(fleet.operator.query("quarantine.list", {}, { timeoutMs: 2_000 }));
+        t.equal(list.kind === "done" ? list.result.fingerprints.length : undefined, records, `status ${status}`);
+    }
+});
