Let control tell where the route of a resumed stream led, not only which routes were in force

What callers saw: an entry that started within the window after a change of any route answered each stream from before the change with 503, also streams of routes that had not changed. Cause: control answers with digests of all routes at the start of the window and since then. An entry knows what a digest stands for only if it had the same routes, so one that has just started knows none of the past. Change: the entry names host and path of the request, and control answers with the pools to which its own routes led them. The digests stay for processes of the version before, and for paths of over 2,000 characters. The lookup of routes moves to the kernel, as control needs it too. Why it works: control's replicas have seen each change, and one that has not run for the whole window says so (isWindowKnown). Streams whose own route moved are refused as before (test unchanged). One test of decideOrigin names its evidence by reply now and checks the same.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -19,7 +19,7 @@
 import type { ChangeOutcome, CommandInputs, CommandKind, CommandResults, ControlReply } from "../kernel/messages.js";
 import { createRegistry } from "../kernel/registry.js";
 import type { ControlPlugin } from "../kernel/registry.js";
-import { createRouteHistory } from "../kernel/routeHistory.js";
+import { createRoutedPools } from "../kernel/routedPools.js";
 import { rpc } from "../kernel/rpc.js";
 import { createNotifier, waitUntil } from "../kernel/tasks.js";
 import type { Address } from "../kernel/types.js";
@@ -97,7 +97,7 @@
     const stateChanged = createNotifier(host.timers);
     const vmRecords = new Map<string, VmRecord>();
     let loggedEvacuations = state.getEvacuations();
-    const routeHistory = createRouteHistory();
+    const routedPools = createRoutedPools();
     // The replica loads its snapshot before the directory exists.
     const forwardReference: { directory?: ControlDirectory; } = {};
     /** Control time of the command that was applied last. */
@@ -124,7 +124,7 @@
                 // Watchers wait for a new revision or for a recall, which only a lease renewal starts.
                 const isPublished = state.getRevision() !== revisionBefore;
                 if (isPublished || entry.command === "leases.renew") stateChanged.notify();
-                if (isPublished) routeHistory.observe(state.listRoutes(), host.clock.nowMs());
+                if (isPublished) routedPools.observe(state.listRoutes(), host.clock.nowMs());
                 return outcome;
             },
             save: stateMachine.save,
@@ -133,7 +133,7 @@
                 forwardReference.directory?.restoreLeaving(listLeaving());
                 logEvacuationChanges();
                 stateChanged.notify();
-                routeHistory.observe(state.listRoutes(), host.clock.nowMs());
+                routedPools.observe(state.listRoutes(), host.clock.nowMs());
             },
         },
     });
@@ -152,7 +152,7 @@
         leaving: { list: listLeaving, covers: state.leavingServers.covers, commit: commitLeaving },
     });
     forwardReference.directory = directory;
-    const streamOrigins = createStreamOriginTable(directory.versions, routeHistory, directory.list);
+    const streamOrigins = createStreamOriginTable(directory.versions, routedPools, directory.list);
     const group = createMembershipManager(host, { replica, self: options.self, ...options.group });
     replica.start();
     tasks.start();
--- a/src/control/streamOrigins.ts
+++ b/src/control/streamOrigins.ts
@@ -4,7 +4,7 @@
  */
 import type { OriginReply, OriginRequest, StreamOriginRecord } from "../kernel/contracts.js";
 import type { BackendServerRecord } from "../kernel/directory.js";
-import type { RouteHistory } from "../kernel/routeHistory.js";
+import type { RoutedPools } from "../kernel/routedPools.js";
 import type { VersionHistory } from "../kernel/versionHistory.js";
 
 /** Origins known to one control VM. */
@@ -24,7 +24,7 @@
 /** Creates an empty table. */
 export function createStreamOriginTable(
     versions: VersionHistory,
-    routes: RouteHistory,
+    pools: Pick<RoutedPools, "getRoutesAt" | "listRoutesSince" | "getPoolsAround">,
     listServers: () => readonly BackendServerRecord[],
 ): StreamOriginTable {
     /** By request id, in the order of recording. */
@@ -38,7 +38,7 @@
             }
             deleteOld(nowMs);
         },
-        find({ requestId, pool, windowMs }, nowMs) {
+        find({ requestId, pool, windowMs, target }, nowMs) {
             deleteOld(nowMs);
             const origin = requestId === undefined ? undefined : origins.get(requestId);
             const versionsSince = versions.listVersionsSince(pool, nowMs - windowMs);
@@ -48,8 +48,9 @@
                     : { pool: origin.pool, softwareVersion: origin.softwareVersion, attempt: origin.attempt },
                 isWindowKnown: versions.isKnownSince(nowMs - windowMs),
                 versionBefore: versions.getOnlyVersionAt(pool, nowMs - windowMs),
-                routesBefore: routes.getDigestAt(nowMs - windowMs),
-                routesSince: routes.listDigestsSince(nowMs - windowMs),
+                routesBefore: pools.getRoutesAt(nowMs - windowMs),
+                routesSince: pools.listRoutesSince(nowMs - windowMs),
+                targetPools: target === undefined ? undefined : pools.getPoolsAround(target, nowMs - windowMs),
                 versionsSince,
                 versionByServer: getVersionByServer(origin?.pool ?? pool, nowMs - windowMs),
             };
--- a/src/entry/direct/gateway.ts
+++ b/src/entry/direct/gateway.ts
@@ -21,6 +21,8 @@
 } from "../../kernel/host.js";
 import type { ClientAccountObject, HttpRouteObject, IngressLimitsObject } from "../../kernel/objects.js";
 import { noRoomRetryAfterMs } from "../../kernel/requestBody.js";
+import { choosePool, createRouteTable } from "../../kernel/routeTable.js";
+import type { RouteTable } from "../../kernel/routeTable.js";
 import { createNotifier, createStopController, getErrorText, sleep, waitUntil } from "../../kernel/tasks.js";
 import type { ProcessIdentity } from "../../kernel/types.js";
 import { createVerdict, refuse, toVerdict } from "../../kernel/verdict.js";
@@ -47,8 +49,6 @@
 import type { EndedRequest } from "./requestLog.js";
 import { createRetryWindow } from "./retryWindow.js";
 import type { RetryRules } from "./retryWindow.js";
-import { choosePool, createRouteTable } from "./routeTable.js";
-import type { RouteTable } from "./routeTable.js";
 import { isPoolEvacuated } from "./serverChoice.js";
 import { createServerLimits } from "./serverLimits.js";
 import { createServerNotices } from "./serverNotices.js";
--- a/src/entry/direct/originDecision.ts
+++ b/src/entry/direct/originDecision.ts
@@ -12,11 +12,10 @@
     readonly pool: string;
     /** The only version that the entry has known in the pool for as long as any caller takes a stream up again. */
     readonly onlyVersion: string | undefined;
-    /**
-     * Returns true if the routes with a digest lead the request to the pool only. It gets undefined for those that a control VM of an earlier
-     * version does not name.
-     */
-    readonly leadToPool?: (routes: string | undefined) => boolean;
+    /** Returns true if the request could be sent to the pool only, at the start of the window, by the routes that a reply names. */
+    readonly beganInPool?: (reply: OriginReply) => boolean;
+    /** The same for the time since then. */
+    readonly stayedInPool?: (reply: OriginReply) => boolean;
 }
 
 /**
@@ -25,17 +24,16 @@
  * A single VM may still have the record of an attempt that failed before the one that began the stream.
  */
 export function decideOrigin(evidence: OriginEvidence): StreamOrigin | undefined {
-    const { replies, memberCount, pool, onlyVersion, leadToPool = () => true } = evidence;
+    const { replies, memberCount, pool, onlyVersion, beganInPool = () => true, stayedInPool = () => true } = evidence;
     const isMajority = (count: number) => count * 2 > memberCount;
     const recorded = replies.flatMap(reply => reply.origin ?? []);
     if (recorded.length > 0) return isMajority(replies.length) ? getLatest(recorded) : undefined;
     const witnesses = replies.filter(reply => reply.isWindowKnown);
     const [versionBefore, ...otherVersions] = new Set(witnesses.map(reply => reply.versionBefore));
-    const beganInPool = witnesses.every(reply => leadToPool(reply.routesBefore));
-    if (isMajority(witnesses.length) && beganInPool && versionBefore !== undefined && otherVersions.length === 0) {
+    if (isMajority(witnesses.length) && witnesses.every(beganInPool) && versionBefore !== undefined && otherVersions.length === 0) {
         return { pool, softwareVersion: versionBefore };
     }
-    if (!replies.every(reply => (reply.routesSince ?? [undefined]).every(leadToPool))) return undefined;
+    if (!replies.every(stayedInPool)) return undefined;
     const agreeing = replies.filter(reply => reply.versionsSince?.every(version => version === onlyVersion));
     if (onlyVersion === undefined || agreeing.length < replies.length || !isMajority(agreeing.length)) return undefined;
     return { pool, softwareVersion: onlyVersion };
--- a/src/entry/direct/streamOrigins.ts
+++ b/src/entry/direct/streamOrigins.ts
@@ -9,18 +9,18 @@
  * An entry that knows one pool and version only may have been out of touch while another joined, so it always asks control about a stream that
  * it did not begin itself. Without the answers of a majority the stream is refused.
  */
-import { maxSharedIdLength } from "../../kernel/contracts.js";
-import type { OriginReply, StreamOriginRecord } from "../../kernel/contracts.js";
+import { maxSharedIdLength, maxTargetLength } from "../../kernel/contracts.js";
+import type { OriginReply, OriginRequest, StreamOriginRecord } from "../../kernel/contracts.js";
 import type { ControlClient } from "../../kernel/controlClient.js";
 import type { BackendServerRecord } from "../../kernel/directory.js";
 import type { Host } from "../../kernel/host.js";
 import type { HttpRouteObject } from "../../kernel/objects.js";
+import { createRoutedPools } from "../../kernel/routedPools.js";
+import type { RequestTarget } from "../../kernel/routedPools.js";
 import { getErrorText, runPeriodically, sleep } from "../../kernel/tasks.js";
 import { createVersionHistory } from "../../kernel/versionHistory.js";
 import { decideOrigin } from "./originDecision.js";
 import type { StreamOrigin } from "./originDecision.js";
-import { createRoutedPools } from "./routedPools.js";
-import type { RequestTarget } from "./routedPools.js";
 
 /** Where a stream may go on. */
 export interface StreamContinuation extends StreamOrigin {
@@ -198,11 +198,20 @@
         const pool = presumedPool ?? routedPool;
         const isOnlyPool = pools.getOnlyPoolSince(target, sinceMs) === pool;
         const onlyVersion = isOnlyPool ? versions.getOnlyVersionSince(pool, sinceMs) : undefined;
+        // Control's routes of the past count, because this entry may have started since. Digests of them are of use only if it had the same.
+        const isPresumed = (routed: readonly string[] | undefined) => routed?.length === 1 && routed[0] === presumedPool;
         const leadToPool = (routes: string | undefined) =>
             routes === undefined ? isOnlyPool : presumedPool !== undefined && pools.getOnlyPool(target, routes) === presumedPool;
+        const beganInPool = ({ targetPools, routesBefore }: OriginReply) =>
+            targetPools === undefined ? leadToPool(routesBefore) : isPresumed(targetPools.before);
+        const stayedInPool = ({ targetPools, routesSince }: OriginReply) =>
+            targetPools === undefined ? (routesSince ?? [undefined]).every(leadToPool) : isPresumed(targetPools.since);
         const decide = (replies: readonly OriginReply[], memberCount: number) =>
-            decideOrigin({ replies, memberCount, pool, onlyVersion, leadToPool });
-        const { replies, memberCount } = await findOrigin(sharedId, pool, (...evidence) => decide(...evidence) !== undefined);
+            decideOrigin({ replies, memberCount, pool, onlyVersion, beganInPool, stayedInPool });
+        const { replies, memberCount } = await findOrigin(
+            { requestId: sharedId, pool, target: toSharedTarget(target) },
+            (...evidence) => decide(...evidence) !== undefined,
+        );
         const origin = decide(replies, memberCount);
         log.info("A stream of unknown origin is taken up again.", {
             requestId,
@@ -220,18 +229,17 @@
 
     // An entry that no control VM answers goes on with its own streams by what it knows of the backend servers.
     async function confirm(origin: StreamOrigin): Promise<StreamContinuation> {
-        const { replies } = await findOrigin(undefined, origin.pool, (replies, memberCount) => replies.length * 2 > memberCount);
+        const { replies } = await findOrigin({ pool: origin.pool }, (replies, memberCount) => replies.length * 2 > memberCount);
         return createContinuation(origin, replies);
     }
 
     /** Asks all control VMs, until the answers are enough or no more come. */
     async function findOrigin(
-        requestId: string | undefined,
-        pool: string,
+        question: Omit<OriginRequest, "windowMs">,
         isEnough: (replies: readonly OriginReply[], memberCount: number) => boolean,
     ): Promise<{ readonly replies: readonly OriginReply[]; readonly memberCount: number; }> {
         const calls = control.callEachMember(
-            (client, signal) => client.findOrigin.query({ requestId, pool, windowMs }, { signal }),
+            (client, signal) => client.findOrigin.query({ ...question, windowMs }, { signal }),
             callTimeoutMs,
         );
         const replies: OriginReply[] = [];
@@ -257,6 +265,10 @@
     return requestId !== "" && requestId.length <= maxSharedIdLength;
 }
 
+function toSharedTarget({ host, path }: RequestTarget): RequestTarget | undefined {
+    return Math.max(host.length, path.length) <= maxTargetLength ? { host, path } : undefined;
+}
+
 /** Resolves once `isEnough` returns true for an answer or all calls have ended. A call that failed has no answer. */
 function waitForAnswers<T>(calls: readonly Promise<T | undefined>[], isEnough: (answer: T) => boolean): Promise<void> {
     return new Promise(resolve => {
--- a/src/kernel/contracts.ts
+++ b/src/kernel/contracts.ts
@@ -17,6 +17,7 @@
     LoadReport,
     QueryKind,
 } from "./messages.js";
+import type { TargetPools } from "./routedPools.js";
 import { rpc } from "./rpc.js";
 
 const maxTextLength = 200;
@@ -128,12 +129,17 @@
 /** Where a resumable stream began. */
 export type StreamOriginRecord = z.infer<typeof streamOriginSchema>;
 
+/** Longest host or path that an entry names when it asks where a stream began. */
+export const maxTargetLength = 2_000;
+
 /** Asks a control VM where a stream began. */
 export const originRequestSchema = z.object({
     requestId: boundedString.optional(),
     pool: boundedString,
     /** Longest time for which a caller may take a stream up again. */
     windowMs: z.number().nonnegative(),
+    /** Host and path of the stream's request. Absent if they are long, or from an entry of an earlier version. */
+    target: z.object({ host: z.string().max(maxTargetLength), path: z.string().max(maxTargetLength) }).optional(),
 }).readonly();
 /** Asks a control VM where a stream began. */
 export type OriginRequest = z.infer<typeof originRequestSchema>;
@@ -149,6 +155,11 @@
     readonly routesBefore?: string;
     /** Digests of all routes in force since the start of the window, as far as this control VM has run. */
     readonly routesSince?: readonly string[];
+    /**
+     * Pools to which the target of the request could be sent at the start of the window and since then. Absent without a target, and from a
+     * control VM of an earlier version.
+     */
+    readonly targetPools?: TargetPools;
     /**
      * All versions that the pool has had since the start of the window, as far as this control VM has run. Absent from a control VM of an
      * earlier version.
--- a/src/entry/direct/routeTable.ts
+++ b/src/kernel/routeTable.ts
@@ -1,5 +1,5 @@
 /** Finds the route of a request by host and longest path prefix, and chooses among the route's targets by weight. */
-import type { HttpRouteObject } from "../../kernel/objects.js";
+import type { HttpRouteObject } from "./objects.js";
 
 /** Lookup table of the routes of one configuration. */
 export interface RouteTable {
--- a/test/streamPools.test.ts
+++ b/test/streamPools.test.ts
@@ -1,8 +1,9 @@
 /** A stream of a route that leads to several pools, or has led to another one, goes on only in the pool that began it. */
 import { test } from "tap";
 import { decideOrigin } from "../src/entry/direct/originDecision.js";
-import { createRoutedPools } from "../src/entry/direct/routedPools.js";
+import type { OriginReply } from "../src/kernel/contracts.js";
 import type { HttpRouteObject } from "../src/kernel/objects.js";
+import { createRoutedPools } from "../src/kernel/routedPools.js";
 import { createRouteHistory } from "../src/kernel/routeHistory.js";
 import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
 import type { CallResult, DirectFleet, FakeServer, ServerBehavior } from "./directFleet.js";
@@ -242,6 +243,21 @@
     t.same(await resumeAll(fleet, 1), { joined: [], refused: [] });
 });
 
+// Guards against an entry that knows other routes of the past than control does: it refused streams of routes that had not changed.
+test("an entry that starts after a change of another route continues streams from before the change", async t => {
+    const fleet = await createTwoPools(314, { service: "models" });
+    await begin(fleet);
+    const state = createState(2, { service: "models" }) as { routes: { name: string; }[]; };
+    const routes = state.routes.map(route => route.name === "safe" ? { ...route, service: "other" } : route);
+    await fleet.simulation.runUntil(fleet.replace(0, { ...state, routes }));
+    await fleet.simulation.advance(300);
+    fleet.entries[1]!.vm.restart();
+    await fleet.startEntry(1);
+    await fleet.simulation.advance(1_000);
+    fleet.entries[0]!.vm.crash();
+    t.same(await resumeAll(fleet, 1), { joined: [], refused: [] });
+});
+
 test("restarted entries tell control of no stream once they know the routes of the whole window", async t => {
     const fleet = await createTwoPools(313, { service: "models" });
     for (const [index, entry] of fleet.entries.entries()) {
@@ -274,6 +290,10 @@
     t.equal(pools.getOnlyPoolAt(resumeTarget, 150), "p");
     t.equal(pools.getOnlyPoolAt(resumeTarget, 250), undefined);
     t.notOk(pools.hadSeveralSince(resumeTarget, 250));
+    t.same(pools.getPoolsAround(resumeTarget, 50), { before: undefined, since: ["p", "q"] });
+    t.same(pools.getPoolsAround(resumeTarget, 150), { before: ["p"], since: ["p", "q"] });
+    t.same(pools.getPoolsAround(resumeTarget, 300), { before: ["q"], since: ["q"] });
+    t.same(pools.getPoolsAround({ host: "h.example", path: "/elsewhere" }, 300), { before: [], since: [] });
     t.equal(pools.getOnlyPoolSince({ host: "h.example", path: "/elsewhere" }, 300), undefined);
     t.end();
 });
@@ -283,7 +303,13 @@
     history.observe(createRoutes("p"), 0);
     history.observe(createRoutes("q"), 10);
     const [routesOfP, routesOfQ] = history.listDigestsSince(0);
-    const evidence = { memberCount: 3, pool: "p", onlyVersion: "v1", leadToPool: (routes: string | undefined) => routes === routesOfP };
+    const evidence = {
+        memberCount: 3,
+        pool: "p",
+        onlyVersion: "v1",
+        beganInPool: (reply: OriginReply) => reply.routesBefore === routesOfP,
+        stayedInPool: (reply: OriginReply) => reply.routesSince!.every(routes => routes === routesOfP),
+    };
     const reply = { isWindowKnown: true, versionBefore: "v1", versionsSince: ["v1"], routesBefore: routesOfP, routesSince: [routesOfP!] };
     const moved = { ...reply, routesBefore: routesOfQ, routesSince: [routesOfQ!] };
     const origin = { pool: "p", softwareVersion: "v1" };
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -3,7 +3,7 @@
 import { createStreamOriginTable } from "../src/control/streamOrigins.js";
 import { decideOrigin } from "../src/entry/direct/originDecision.js";
 import type { HttpRequest, HttpResponse } from "../src/kernel/host.js";
-import { createRouteHistory } from "../src/kernel/routeHistory.js";
+import { createRoutedPools } from "../src/kernel/routedPools.js";
 import { sleep } from "../src/kernel/tasks.js";
 import { createVersionHistory } from "../src/kernel/versionHistory.js";
 import { createConfiguration, createDirectFleet, createSealHeaders, sendCompleteAnswer } from "./directFleet.js";
@@ -142,7 +142,7 @@
 });
 
 test("a record of an earlier attempt that arrives late does not replace that of a later one", t => {
-    const table = createStreamOriginTable(createVersionHistory(), createRouteHistory(), () => []);
+    const table = createStreamOriginTable(createVersionHistory(), createRoutedPools(), () => []);
     const find = () => table.find({ requestId: "a", pool: "p", windowMs: 1_000 }, 2).origin;
     table.record([{ requestId: "a", pool: "p", softwareVersion: "v1", attempt: 2 }], 0);
     table.record([{ requestId: "a", pool: "p", softwareVersion: "v2", attempt: 1 }], 1);
