Count the version of a server that has just left, and split the held records off

Cause: found on reading the change again. A control VM may learn from the log, before any push, that a server it never heard of is gone. Its version was not counted as in service then, as it is when the same record comes by a push, so the VM could later vouch for the only other version. Change: a record that is committed while the VM runs counts its version as in service until just before; the records that it restores at its start do not, because they may be old. The records that wait for the VM to catch up have a module of their own. Test: leavingServers.test.ts, "the version of a server that left ..."; the record committed while the VM runs counted for nothing before.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -118,7 +118,7 @@
                 appliedAtMs = context.nowMs;
                 if (entry.command === "leavingServers.record") {
                     const { record } = entry.input as CommandInputs["leavingServers.record"];
-                    forwardReference.directory?.restoreLeaving([record]);
+                    forwardReference.directory?.recordLeaving([record]);
                 }
                 logEvacuationChanges();
                 // Watchers wait for a new revision or for a recall, which only a lease renewal starts.
@@ -130,7 +130,7 @@
             save: stateMachine.save,
             load(saved) {
                 stateMachine.load(saved);
-                forwardReference.directory?.restoreLeaving(listLeaving());
+                forwardReference.directory?.recordLeaving(listLeaving());
                 logEvacuationChanges();
                 stateChanged.notify();
                 routedPools.observe(state.listRoutes(), host.clock.nowMs());
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -8,7 +8,7 @@
  */
 import type { DirectoryGossip, DirectoryReply, DirectoryRequest } from "../kernel/contracts.js";
 import type { ControlRouter } from "../kernel/contracts.js";
-import { checkBackendServerRecord, countDownColdTime, createDirectoryTable, isNewerRecord } from "../kernel/directory.js";
+import { checkBackendServerRecord, countDownColdTime, createDirectoryTable } from "../kernel/directory.js";
 import type { BackendServerRecord } from "../kernel/directory.js";
 import type { Host } from "../kernel/host.js";
 import { createRpcClients } from "../kernel/rpc.js";
@@ -17,6 +17,7 @@
 import type { Address } from "../kernel/types.js";
 import { createVersionHistory } from "../kernel/versionHistory.js";
 import type { VersionHistory } from "../kernel/versionHistory.js";
+import { createHeldRecords } from "./heldRecords.js";
 import { createWatcherList } from "./watcherList.js";
 
 /** The part of the control group's state that the directory reads. */
@@ -50,8 +51,8 @@
     recordHeartbeat(record: BackendServerRecord): Promise<boolean>;
     get(backendServer: string): BackendServerRecord | undefined;
     list(): readonly BackendServerRecord[];
-    /** Merges committed records of leaving servers. */
-    restoreLeaving(records: readonly BackendServerRecord[]): void;
+    /** Merges records of leaving servers that the group has just committed, or that this VM has just learned to be committed. */
+    recordLeaving(records: readonly BackendServerRecord[]): void;
     readonly versions: VersionHistory;
     /** Merges the records and watchers that another control VM pushed. */
     spread(message: DirectoryGossip): { readonly incarnation: string; };
@@ -61,7 +62,7 @@
     stop(): void;
 }
 
-/** A record that waits to be sent or merged. */
+/** A record that waits to be sent. */
 interface PendingRecord {
     readonly record: BackendServerRecord;
     readonly receivedAtMs: number;
@@ -105,8 +106,8 @@
     const peers = new Map<Address, Peer>();
     const watchers = createWatcherList();
     const versions = createVersionHistory();
-    /** Records that came before this VM had caught up, by backend server. */
-    const held = new Map<string, PendingRecord>();
+    /** Records that came before this VM had caught up. */
+    const held = createHeldRecords();
     let isCaughtUp = false;
 
     return {
@@ -114,7 +115,7 @@
         async recordHeartbeat(record) {
             const receivedAtMs = host.clock.nowMs();
             if (record.state === "ready" && !hasCaughtUp()) {
-                hold({ record, receivedAtMs });
+                held.hold(record, receivedAtMs);
                 return waitUntilCaughtUp(majorityTimeoutMs);
             }
             const previous = table.get(record.backendServer, receivedAtMs);
@@ -128,7 +129,10 @@
             pushToPeers(record, receivedAtMs, outcome === "changed" || record.state !== "ready");
             return record.state === "ready" ? true : confirmLeaving(record);
         },
-        restoreLeaving,
+        recordLeaving(records) {
+            // What was committed before this VM started is merged when it has caught up.
+            if (isCaughtUp) versions.observe(mergeLeaving(records), host.clock.nowMs());
+        },
         get: backendServer => table.get(backendServer, host.clock.nowMs()),
         list: () => table.listSince(0, host.clock.nowMs()),
         spread(message) {
@@ -139,7 +143,7 @@
                     log.warn("A backend server record of another control VM is invalid.", { problem: check.problem });
                 }
                 else if (check.record.state === "ready" && !hasCaughtUp()) {
-                    hold({ record: check.record, receivedAtMs: host.clock.nowMs() });
+                    held.hold(check.record, host.clock.nowMs());
                 }
                 else if (table.merge(check.record, host.clock.nowMs()) === "changed") changed.push(check.record);
             }
@@ -195,7 +199,8 @@
     function hasCaughtUp(): boolean {
         if (isCaughtUp || !group.hasCaughtUp()) return isCaughtUp;
         isCaughtUp = true;
-        restoreLeaving(group.leaving.list());
+        // The servers may have left long ago, so their versions are not counted as in service now.
+        mergeLeaving(group.leaving.list());
         mergeHeld();
         return true;
     }
@@ -206,34 +211,28 @@
         return hasCaughtUp();
     }
 
-    function hold(pending: PendingRecord): void {
-        const { backendServer } = pending.record;
-        const other = held.get(backendServer)?.record;
-        if (other === undefined || isNewerRecord(pending.record, other)) held.set(backendServer, pending);
-    }
-
     function mergeHeld(): void {
         const nowMs = host.clock.nowMs();
-        for (const { record, receivedAtMs } of held.values()) {
+        for (const record of held.take(nowMs)) {
             const previous = table.get(record.backendServer, nowMs);
-            const counted = countDownColdTime(record, nowMs - receivedAtMs);
-            const outcome = table.merge(counted, nowMs);
+            const outcome = table.merge(record, nowMs);
             log.info("A record was merged that came before this VM had caught up.", { backendServer: record.backendServer, outcome });
             if (outcome === "ignored") continue;
-            versions.observe([counted], nowMs);
-            reportChange(counted, previous);
-            pushToPeers(counted, nowMs, true);
+            versions.observe([record], nowMs);
+            reportChange(record, previous);
+            pushToPeers(record, nowMs, true);
         }
-        held.clear();
     }
 
-    // The servers may be gone for long, so the versions that they had are not in service now.
-    function restoreLeaving(records: readonly BackendServerRecord[]): void {
+    /** Merges committed records and returns those that were new. */
+    function mergeLeaving(records: readonly BackendServerRecord[]): readonly BackendServerRecord[] {
         const nowMs = host.clock.nowMs();
-        for (const record of records) {
+        return records.filter(record => {
             const previous = table.get(record.backendServer, nowMs);
-            if (table.merge(record, nowMs) === "changed") reportChange(record, previous);
-        }
+            const isChanged = table.merge(record, nowMs) === "changed";
+            if (isChanged) reportChange(record, previous);
+            return isChanged;
+        });
     }
 
     function pushToPeers(record: BackendServerRecord, receivedAtMs: number, isUrgent: boolean): void {
--- a/test/leavingServers.test.ts
+++ b/test/leavingServers.test.ts
@@ -264,3 +264,23 @@
     t.same(states, { s: "ready", left: "gone", other: "ready", late: "ready" });
     directory.stop();
 });
+
+// Guards against streams that are joined with those of a version that a control VM has heard of only as gone.
+test("the version of a server that left counts as in service until just before, but not after a restart", async t => {
+    const simulation = createSimulation(610);
+    const { host } = simulation.createVm("10.0.0.1");
+    let hasCaughtUp = false;
+    const left = createRecord({ state: "gone", softwareVersion: "v0" });
+    const leaving = { list: () => [left], covers: () => true, commit: async () => true };
+    const directory = createControlDirectory(host, "i", { ...createSingleGroup(), hasCaughtUp: () => hasCaughtUp, leaving });
+    directory.recordLeaving([left]);
+    t.same(directory.list(), [], "not before this VM has caught up");
+    hasCaughtUp = true;
+    directory.start();
+    await simulation.advance(1_200);
+    t.equal(directory.get("s")?.state, "gone");
+    t.same(directory.versions.listVersionsSince("p", 0), []);
+    directory.recordLeaving([createRecord({ backendServer: "other", state: "gone", softwareVersion: "v1", address: "10.0.2.2:80" })]);
+    t.same(directory.versions.listVersionsSince("p", 0), ["v1"]);
+    directory.stop();
+});
