--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -116,6 +116,7 @@
                 const outcome = stateMachine.apply(entry, context);
                 state.onApplied(context.index);
                 appliedAtMs = context.nowMs;
+                // The directory learns of a committed leaving at once, also where no push of another VM arrives.
                 if (entry.command === "leavingServers.record") {
                     const { record } = entry.input as CommandInputs["leavingServers.record"];
                     forwardReference.directory?.recordLeaving([record]);
